--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,591 @@
+// The decisions of one node. How it is called: the adapter builds one Policy for each node and calls one method
+// for each thing that happens; the Policy calls its Host at once. Both interfaces are defined in policy.h.
+//
+// The ordinary path is TPD (docs/design.md): pick() draws candidates by apparent speed and takes the least
+// estimated finish. Beside it stand six mechanisms:
+//   1. health posterior           doubted(), blame()
+//   2. time-outs, further launches  further(), start_patience()
+//   3. overload pushback          has_room(), serve_held()
+//   4. customer fairness          value()
+//   5. cold budget                cold_budget()
+//   6. following the list         follow_list()
+#include "policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace canvasstage {
+namespace {
+
+double seconds(Time time) { return static_cast<double>(time) / kSecond; }
+Time from_seconds(double value) { return static_cast<Time>(value * kSecond); }
+
+// How fast outcomes are forgotten: a few times the length of a passing trouble's first signs.
+constexpr Time kHealthLife = 8 * kSecond;
+
+double uniform(std::mt19937& random) { return (static_cast<double>(random()) + 0.5) / 4294967296.0; }
+
+// The wake-up of the node's own housekeeping; other tokens name a submission.
+constexpr std::uint64_t kTickToken = 0;
+// Often enough to ask for the list again in time, seldom enough to cost nothing.
+constexpr Time kTick = kSecond / 4;
+constexpr int kIndexBits = 24;
+
+}  // namespace
+
+double DecayingSum::read(Time now, Time life) {
+  if (now > at) {
+    value *= std::exp(-static_cast<double>(now - at) / static_cast<double>(life));
+    at = now;
+  }
+  return value;
+}
+
+void DecayingSum::add(Time now, Time life, double amount) {
+  read(now, life);
+  value += amount;
+}
+
+Policy::Policy(Settings settings, Host& host, std::uint32_t seed, Time now)
+    : settings_(std::move(settings)),
+      host_(host),
+      random_(seed),
+      work_(settings_.use_cases.size(), 1.0),
+      work_weight_(settings_.use_cases.size(), 0.0),
+      asked_(settings_.allowances.size()) {
+  tick(now);
+}
+
+// --- Following the list ---
+
+void Policy::executor_listed(Time now, int index, int zone, int kind, int cell, Standing standing, Time started) {
+  if (index >= static_cast<int>(executors.size())) executors.resize(index + 1);
+  if (zone >= static_cast<int>(zones_.size())) zones_.resize(zone + 1);
+  if (kind >= static_cast<int>(widest_.size())) widest_.resize(kind + 1, 1.0);
+  Executor& executor = executors[index];
+  // A process that has restarted is a new one: what was learned of its health and load is void.
+  if (executor.known && started > executor.started) {
+    executor.good = executor.bad = DecayingSum{};
+    executor.load = Load{};
+    executor.cold_sends.clear();
+  }
+  executor.known = true;
+  executor.listed = list_ + 1;
+  executor.zone = zone;
+  executor.kind = kind;
+  executor.cell = cell;
+  executor.standing = standing;
+  executor.started = std::min(std::max(executor.started, started), now);
+}
+
+void Policy::roster_arrived(Time now, RosterForm form) {
+  ++list_;
+  if (form == RosterForm::kWhole)
+    for (Executor& executor : executors)
+      if (executor.listed != list_) executor.standing = Standing::kGone;
+  if (form != RosterForm::kRemembered) {
+    subscribed_ = true;
+    ask_pause_ = 0;
+  }
+  serve_held(now);
+}
+
+// A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do not
+// crowd a discovery of fixed capacity, but stay well inside the time after which we are deemed to have been told.
+void Policy::roster_refused(Time now) {
+  subscribed_ = false;
+  ask_pause_ = std::clamp(2 * ask_pause_, kSecond / 2, settings_.ask_within / 2);
+  next_ask_ = now + from_seconds(seconds(ask_pause_) * (0.5 + uniform(random_)));
+}
+
+void Policy::follow_list(Time now) {
+  if (!settings_.ask_for_roster || subscribed_ || now < next_ask_) return;
+  host_.subscribe();
+  next_ask_ = now + settings_.ask_within / 2;  // in case no answer comes at all
+}
+
+void Policy::tick(Time now) {
+  follow_list(now);
+  serve_held(now);
+  host_.wake_at(now + kTick, kTickToken);
+}
+
+// --- TPD ---
+
+double Policy::mean_speed() const {
+  double sum = 0;
+  int count = 0;
+  for (const Executor& executor : executors)
+    if (executor.latency > 0 && executor.standing == Standing::kReady) {
+      sum += executor.work / executor.latency;
+      ++count;
+    }
+  return count > 0 ? sum / count : 1.0;
+}
+
+double Policy::speed(const Executor& executor) const {
+  return executor.latency > 0 ? executor.work / executor.latency : mean_speed();
+}
+
+double Policy::cost(const Submission& submission) const {
+  return submission.hint > 0 ? submission.hint : work_[submission.use_case];
+}
+
+// How long the shortest latencies are remembered; long enough that each zone is heard of at low traffic.
+constexpr Time kDelaySpan = 10 * kSecond;
+
+void Policy::heard_from(Time now, const Executor& executor, Time delay) {
+  if (executor.zone < 0) return;
+  ZoneDelay& zone = zones_[executor.zone];
+  if (now - zone.since > kDelaySpan) {
+    zone.before = now - zone.since > 2 * kDelaySpan ? kNever : zone.now;
+    zone.now = kNever;
+    zone.since = now;
+  }
+  zone.now = std::min(zone.now, delay);
+}
+
+Time Policy::delay(Time, const Executor& executor) const {
+  if (executor.zone == settings_.zone || executor.zone < 0) return 0;
+  if (settings_.zone < 0 || settings_.zone >= static_cast<int>(zones_.size())) return 0;
+  const ZoneDelay& there = zones_[executor.zone];
+  const ZoneDelay& here = zones_[settings_.zone];
+  const Time there_shortest = std::min(there.now, there.before);
+  const Time here_shortest = std::min(here.now, here.before);
+  if (there_shortest == kNever || here_shortest == kNever) return 0;
+  return std::max<Time>(0, there_shortest - here_shortest);
+}
+
+// The number of candidates: the smallest integer in [(1 - epsilon) f, (1 + epsilon) f], from 2 to K.
+int Policy::choices(const std::vector<double>& chances) {
+  constexpr double kEpsilon = 0.5;  // the design page's start
+  const int count = static_cast<int>(chances.size());
+  if (count <= 2) return count;
+  const auto [least, most] = std::minmax_element(chances.begin(), chances.end());
+  const double alpha = 1.0 / (count * *least);
+  const double beta = count * *most;
+  // With equal chances alpha = beta = 1 and the formula is 0/0; its limit is 1.
+  double f = 1.0;
+  if (alpha > 1.0 + 1e-9 && beta > 1.0 + 1e-9)
+    f = std::log((alpha * beta - 1) / (alpha - 1)) / std::log((alpha * beta - 1) / (alpha * beta - beta));
+  if (!std::isfinite(f)) return count;
+  const double lower = std::min((1 - kEpsilon) * f, static_cast<double>(count));
+  return std::clamp(static_cast<int>(std::ceil(lower)), 2, count);
+}
+
+// The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
+int Policy::pick(Time now, const Submission& submission) {
+  ready_.clear();
+  for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
+    for (int i = 0; i < static_cast<int>(executors.size()); ++i)
+      // If every executor looks bad the work still flows: the second pass asks nothing of health.
+      if (has_room(executors[i]) && may_launch(now, submission, i) && (pass == 1 || !doubted(now, executors[i])))
+        ready_.push_back(i);
+  if (ready_.empty()) return -1;
+  const double work = cost(submission);
+  const double mean = mean_speed();
+  const auto speed_of = [&](const Executor& e) { return e.latency > 0 ? e.work / e.latency : mean; };
+  double sum = 0;
+  chances_.clear();
+  for (const int i : ready_) {
+    const double p = work / speed_of(executors[i]);
+    chances_.push_back(work / (p + seconds(delay(now, executors[i]))));
+    sum += chances_.back();
+  }
+  for (double& chance : chances_) chance /= sum;
+  int best = -1;
+  double least = 0;
+  double left = 1;
+  for (int draws = choices(chances_); draws > 0; --draws) {
+    double at = uniform(random_) * left;
+    std::size_t drawn = chances_.size();
+    for (std::size_t i = 0; i < chances_.size(); ++i) {
+      if (chances_[i] <= 0) continue;
+      drawn = i;
+      at -= chances_[i];
+      if (at < 0) break;
+    }
+    const Executor& executor = executors[ready_[drawn]];
+    const double v = speed_of(executor);
+    double queued = executor.open_cost / v;
+    if (executor.load.held >= 0) queued += std::max(0.0, executor.load.held - executor.open_at_load) * work / v;
+    const double finish = queued + work / v + seconds(delay(now, executor));
+    if (best < 0 || finish < least) {
+      best = ready_[drawn];
+      least = finish;
+    }
+    left -= chances_[drawn];
+    chances_[drawn] = 0;
+  }
+  return best;
+}
+
+// --- The four rules ---
+
+// The guard before every launch.
+bool Policy::may_launch(Time now, const Submission& submission, int index) {
+  Executor& executor = executors[index];
+  // Rule 1: nothing for a submission that is over.
+  if (!submission.open || now >= submission.due) return false;
+  if (static_cast<int>(submission.launches.size()) >= settings_.most_launches) return false;
+  // Rule 3: nothing to one that drains or is gone; the grace is slack, not a target.
+  if (executor.standing != Standing::kReady) return false;
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  if (use_case.machine_kind >= 0 && executor.kind != use_case.machine_kind) return false;
+  // Rule 2: what may have run goes again only as the use case allows.
+  bool bound = false;
+  for (const Launch& launch : submission.launches) {
+    if (launch.pending && (!settings_.second_copies || launch.executor == index)) return false;
+    if (!launch.may_have_run) continue;
+    if (use_case.effect == Effect::kSingleUse) return false;
+    if (use_case.effect != Effect::kReferenced || bound) continue;
+    bound = true;  // the first that may have run sets the group and the window
+    const Executor& first = executors[launch.executor];
+    if (use_case.group == Group::kZone && first.zone != executor.zone) return false;
+    if (use_case.group == Group::kCell && first.cell != executor.cell) return false;
+    if (now + settings_.quantum >= launch.sent + use_case.window) return false;
+  }
+  // Rule 4: a cold executor gets no more than our share of what it can surely bear.
+  if (now - executor.started >= settings_.warm_up + settings_.fall_span || executor.started == 0) return true;
+  double sent = cost(submission) * submission.width;
+  for (const auto& [when, work] : executor.cold_sends)
+    if (now - when <= settings_.fall_span) sent += work;
+  return sent <= cold_budget(now, executor);
+}
+
+bool Policy::may_push_back(const Submission& submission) const {
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  if (use_case.effect == Effect::kReplayable) return true;
+  if (use_case.effect == Effect::kReferenced && use_case.group == Group::kAll) return true;
+  return std::none_of(submission.launches.begin(), submission.launches.end(),
+                      [](const Launch& launch) { return launch.may_have_run; });
+}
+
+// What this node may send a cold executor within any span: its share of what all together may, for the least
+// capacity that it can have. The other nodes are taken to do the same.
+double Policy::cold_budget(Time now, const Executor& executor) const {
+  constexpr double kSlack = 0.8;  // handshakes and probes are work too
+  const double age = std::max(0.0, seconds(now - settings_.fall_span - executor.started));
+  const double warm = settings_.warm_up > 0 ? std::min(1.0, age / seconds(settings_.warm_up)) : 1.0;
+  const double part = settings_.cold_from + (1 - settings_.cold_from) * warm;
+  const double width = executor.kind >= 0 ? widest_[executor.kind] : 1.0;
+  return kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width *
+         seconds(settings_.fall_span);
+}
+
+// --- Health ---
+
+void Policy::blame(Time now, Launch& launch) {
+  if (launch.blamed) return;
+  launch.blamed = true;
+  executors[launch.executor].bad.add(now, kHealthLife, 1);
+}
+
+// Drawn from the posterior of its chance of success: a doubtful executor is never quite forgotten.
+bool Policy::doubted(Time now, Executor& executor) {
+  const double bad = executor.bad.read(now, kHealthLife);
+  if (bad < 0.3) return false;
+  const double good = executor.good.read(now, kHealthLife);
+  std::gamma_distribution<double> wins(1 + good), losses(1 + bad);
+  const double win = wins(random_);
+  return win / (win + losses(random_)) < 0.6;
+}
+
+// --- Launches ---
+
+// How many launches of ours may wait at an executor without having begun. More would only move the queue to
+// where its order can no longer be chosen.
+constexpr int kMostUnstarted = 2;
+
+bool Policy::has_room(const Executor& executor) const {
+  return !settings_.tells_start || executor.unstarted < kMostUnstarted;
+}
+
+void Policy::launch(Time now, int index, int to) {
+  Submission& submission = submissions[index];
+  Executor& executor = executors[to];
+  Launch launch;
+  launch.executor = to;
+  launch.sent = launch.heard = now;
+  launch.cost = cost(submission);
+  submission.launches.push_back(launch);
+  ++executor.open;
+  ++executor.unstarted;
+  executor.open_cost += launch.cost;
+  while (!executor.cold_sends.empty() && now - executor.cold_sends.front().first > settings_.fall_span)
+    executor.cold_sends.pop_front();
+  if (now - executor.started < settings_.warm_up + settings_.fall_span)
+    executor.cold_sends.emplace_back(now, launch.cost * submission.width);
+  host_.launch(index, to, submission.due);
+  host_.wake_at(now + start_patience(now), (std::uint64_t{submission.serial} << kIndexBits) | index);
+}
+
+void Policy::close_launch(Time, Submission& submission, Launch& launch) {
+  launch.pending = false;
+  Executor& executor = executors[launch.executor];
+  --executor.open;
+  executor.open_cost = executor.open == 0 ? 0 : executor.open_cost - launch.cost;
+  if (launch.began < 0)
+    --executor.unstarted;
+  else
+    executor.running_width -= submission.width;
+}
+
+void Policy::place(Time now, int index) {
+  Submission& submission = submissions[index];
+  const int to = pick(now, submission);
+  if (to >= 0) return launch(now, index, to);
+  if (submission.held) return;
+  submission.held = true;
+  held_.push_back(index);
+}
+
+double Policy::value(const Submission& submission) const {
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  return use_case.billing_value * (submission.within_share ? 1.0 : settings_.overage_value);
+}
+
+// The last moment at which a launch would still end within the agreed time, by what its use case usually takes.
+Time Policy::last_start_in_time(const Submission& submission) const {
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  const double own = cost(submission);
+  return std::min(submission.due, submission.arrived + use_case.agreed_time + from_seconds(use_case.stretch * own)) -
+         from_seconds(own / mean_speed());
+}
+
+// Held submissions go out as room appears, the most valuable for their work first; those that can no longer be
+// satisfied in time are answered at once.
+void Policy::serve_held(Time now) {
+  if (held_.empty()) return;
+  const auto over = [&](int index) { return !submissions[index].open || !submissions[index].held; };
+  for (const int index : held_) {
+    Submission& submission = submissions[index];
+    if (over(index)) continue;
+    const UseCase& use_case = settings_.use_cases[submission.use_case];
+    const Time until = use_case.overdue_value > 0 ? submission.due - 2 * settings_.quantum
+                                                  : last_start_in_time(submission);
+    if (now >= std::min(until, submission.due - 2 * settings_.quantum)) end(now, index, true);
+  }
+  std::erase_if(held_, over);
+  if (std::none_of(executors.begin(), executors.end(),
+                   [&](const Executor& e) { return e.standing == Standing::kReady && has_room(e); }))
+    return;
+  std::vector<std::pair<double, int>> order;
+  for (const int index : held_) {
+    const Submission& submission = submissions[index];
+    const UseCase& use_case = settings_.use_cases[submission.use_case];
+    const bool late = now > last_start_in_time(submission);
+    order.emplace_back(-value(submission) * (late ? use_case.overdue_value : 1.0) / cost(submission), index);
+  }
+  std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [key, index] : order) {
+    const int to = pick(now, submissions[index]);
+    if (to < 0) continue;
+    submissions[index].held = false;
+    launch(now, index, to);
+  }
+  std::erase_if(held_, over);
+}
+
+// The one function that ends a submission.
+void Policy::end(Time now, int index, bool push_back) {
+  Submission& submission = submissions[index];
+  if (!submission.open) return;
+  submission.open = submission.held = false;
+  push_back = push_back && may_push_back(submission);
+  if (settings_.cancelling)
+    for (std::size_t i = 0; i < submission.launches.size(); ++i)
+      if (submission.launches[i].pending) host_.cancel(index, static_cast<int>(i));
+  if (push_back)
+    host_.push_back(index, 0);
+  else
+    host_.abort(index);
+  (void)now;
+}
+
+// --- What happens ---
+
+void Policy::submission_arrived(Time now, int index, int use_case, int customer, Time due, double hint, int width,
+                                double memory, bool) {
+  if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
+  Submission& submission = submissions[index];
+  submission = Submission{};
+  submission.open = true;
+  submission.serial = ++serial_;
+  submission.use_case = use_case;
+  submission.customer = customer;
+  submission.width = width;
+  submission.memory = memory;
+  submission.hint = hint;
+  submission.arrived = now;
+  submission.due = due;
+  host_.wake_at(due - 2 * settings_.quantum, (std::uint64_t{submission.serial} << kIndexBits) | index);
+  place(now, index);
+}
+
+// How long a launch may go without having begun before its executor is held to be silent: a multiple of what
+// launches have waited of late on the whole fleet, so that a trouble shared by all blames nobody.
+Time Policy::start_patience(Time now) {
+  constexpr double kMultiple = 5;             // a queue's wait spreads widely
+  constexpr Time kLeast = kSecond * 3 / 10;   // a handshake, a crossing and a pause
+  const double count = starts_.read(now, kHealthLife);
+  const double mean = count > 0.5 ? start_wait_.read(now, kHealthLife) / count : 0.1;
+  return std::max(kLeast, from_seconds(kMultiple * mean));
+}
+
+// Looks at a submission that may need a further launch, or has come near its hard limit without one.
+void Policy::further(Time now, int index) {
+  Submission& submission = submissions[index];
+  bool pending = false;
+  Time next = kNever;
+  for (std::size_t i = 0; i < submission.launches.size(); ++i) {
+    Launch& launch = submission.launches[i];
+    if (!launch.pending) continue;
+    pending = true;
+    Time patience = kNever;
+    if (launch.began < 0) {
+      if (settings_.tells_start) patience = start_patience(now);
+    } else if (settings_.progress_every > 0) {
+      patience = settings_.progress_every * 3 / 2 + kSecond / 10;
+    }
+    if (patience == kNever || launch.blamed) continue;
+    if (now - launch.heard < patience) {
+      next = std::min(next, launch.heard + patience);
+      continue;
+    }
+    blame(now, launch);
+    if (settings_.second_copies) {
+      const int to = pick(now, submission);
+      if (to >= 0) {
+        Policy::launch(now, index, to);
+        break;
+      }
+    }
+  }
+  if (!pending && submission.held && now >= submission.due - 2 * settings_.quantum) return end(now, index, true);
+  if (next < submission.due) host_.wake_at(next, (std::uint64_t{submission.serial} << kIndexBits) | index);
+}
+
+void Policy::launch_started(Time now, int index, int number) {
+  Submission& submission = submissions[index];
+  Launch& launch = submission.launches[number];
+  if (!launch.pending || launch.began >= 0) return;
+  launch.began = launch.heard = now;
+  Executor& executor = executors[launch.executor];
+  --executor.unstarted;
+  executor.running_width += submission.width;
+  if (executor.kind >= 0) widest_[executor.kind] = std::max(widest_[executor.kind], executor.running_width);
+  start_wait_.add(now, kHealthLife, seconds(now - launch.sent));
+  starts_.add(now, kHealthLife, 1);
+  heard_from(now, executor, now - launch.sent);
+  if (settings_.progress_every > 0 && submission.open)
+    host_.wake_at(now + settings_.progress_every * 3 / 2 + kSecond / 10,
+                  (std::uint64_t{submission.serial} << kIndexBits) | index);
+  serve_held(now);
+}
+
+void Policy::launch_progressed(Time now, int index, int number, double share_done) {
+  Launch& launch = submissions[index].launches[number];
+  launch.heard = now;
+  launch.share_done = share_done;
+}
+
+void Policy::take_load(Time now, Executor& executor, const Load* load) {
+  if (load == nullptr) return;
+  executor.load = *load;
+  executor.load_at = now;
+  executor.open_at_load = executor.open;
+}
+
+void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
+                          const Load* load) {
+  constexpr double kSpeedWeight = 0.2;   // the design page's start
+  constexpr double kCostWeight = 0.02;   // costs spread widely; one heavy submission must not move the mean far
+  Submission& submission = submissions[index];
+  Launch& launch = submission.launches[number];
+  if (!launch.pending) return;
+  close_launch(now, submission, launch);
+  launch.may_have_run = outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable &&
+                        outcome != Outcome::kUnsent;
+  Executor& executor = executors[launch.executor];
+  take_load(now, executor, load);
+  switch (outcome) {
+    case Outcome::kSatisfied: {
+      executor.good.add(now, kHealthLife, 1);
+      heard_from(now, executor, latency);
+      const double took = std::max(1e-4, seconds(latency));
+      const double mean = mean_speed();
+      if (executor.latency <= 0) {
+        executor.work = launch.cost;
+        executor.latency = launch.cost / mean;
+      }
+      const double run = launch.began >= 0 ? std::max(1e-4, seconds(now - launch.began)) : took;
+      const double work = run * executor.work / executor.latency / mean;
+      executor.work += kSpeedWeight * (launch.cost - executor.work);
+      executor.latency += kSpeedWeight * (took - executor.latency);
+      double& weight = work_weight_[submission.use_case];
+      weight += 1;
+      work_[submission.use_case] += std::max(kCostWeight, 1 / weight) * (work - work_[submission.use_case]);
+      break;
+    }
+    case Outcome::kErrored:
+    case Outcome::kBroken:
+    case Outcome::kUnreachable: executor.bad.add(now, kHealthLife, 1); break;
+    case Outcome::kTurnedAway: executor.bad.add(now, kHealthLife, 0.5); break;
+    case Outcome::kTimedOut: blame(now, launch); break;
+    case Outcome::kCancelled:
+    case Outcome::kUnsent: break;
+  }
+  if (settled) submission.open = submission.held = false;
+  if (submission.open) {
+    const bool others = std::any_of(submission.launches.begin(), submission.launches.end(),
+                                    [](const Launch& other) { return other.pending; });
+    if (now >= submission.due - settings_.quantum) {
+      end(now, index, true);
+    } else if (!others) {
+      const int to = pick(now, submission);
+      if (to >= 0) {
+        Policy::launch(now, index, to);
+      } else if (may_push_back(submission) &&
+                 static_cast<int>(submission.launches.size()) < settings_.most_launches) {
+        place(now, index);
+      } else {
+        end(now, index, true);
+      }
+    }
+  } else if (settings_.cancelling) {
+    for (std::size_t i = 0; i < submission.launches.size(); ++i)
+      if (submission.launches[i].pending) host_.cancel(index, static_cast<int>(i));
+  }
+  serve_held(now);
+}
+
+void Policy::client_left(Time, int index) {
+  Submission& submission = submissions[index];
+  submission.open = submission.held = false;
+  if (!settings_.cancelling) return;
+  for (std::size_t i = 0; i < submission.launches.size(); ++i)
+    if (submission.launches[i].pending) host_.cancel(index, static_cast<int>(i));
+}
+
+void Policy::probe_answered(Time now, int index, bool well, Time latency, const Load* load) {
+  Executor& executor = executors[index];
+  executor.probing = false;
+  if (well) {
+    heard_from(now, executor, latency);
+    take_load(now, executor, load);
+  }
+}
+
+void Policy::peer_message(Time, int, std::string_view) {}
+
+void Policy::timer_due(Time now, std::uint64_t token) {
+  if (token == kTickToken) return tick(now);
+  const std::uint64_t index = token & ((1u << kIndexBits) - 1);
+  if (index >= submissions.size()) return;
+  const Submission& submission = submissions[index];
+  if (submission.open && submission.serial == token >> kIndexBits) further(now, static_cast<int>(index));
+}
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/policy.h
@@ -0,0 +1,197 @@
+// The interface of the decision module: what happens to a node goes in through Policy, what the node decides
+// goes out through Host. Depends on the standard library alone.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace canvasstage {
+
+// A point in time or a length of it, in tenths of a millisecond. Deadlines are rounded down on their way in.
+using Time = std::int64_t;
+constexpr Time kSecond = 10000;
+constexpr Time kNever = INT64_MAX / 4;
+
+enum class Effect { kReplayable, kReferenced, kSingleUse };
+enum class Group { kAll, kZone, kCell };
+enum class Standing { kReady, kDraining, kGone };
+enum class RosterForm { kChanges, kWhole, kRemembered };
+// How a launch ended. Turned away, unreachable and unsent prove that it never ran.
+enum class Outcome { kSatisfied, kErrored, kTurnedAway, kTimedOut, kUnreachable, kBroken, kCancelled, kUnsent };
+
+struct UseCase {
+  Time agreed_time = kSecond;
+  double stretch = 0;  // the agreed time grows by this multiple of the submission's own work
+  Time hard_limit = 5 * kSecond;
+  double billing_value = 1;
+  double overdue_value = 0;  // the part of it that an answer after the agreed time still earns
+  Effect effect = Effect::kReplayable;
+  Group group = Group::kAll;
+  Time window = 0;
+  int machine_kind = -1;  // the one kind that runs it; -1: any
+};
+
+struct Settings {
+  std::vector<UseCase> use_cases;
+  std::vector<double> allowances;  // submissions a second within each customer's share, over all nodes
+  double overage_value = 1;        // what a submission beyond the share is worth, as a part
+  int zone = 0;
+  int replicas = 1;
+  bool ask_for_roster = false;
+  Time ask_within = kNever;
+  Time quantum = 0;
+  int most_launches = 1;
+  bool second_copies = false;
+  bool cancelling = false;
+  bool probing = false;
+  bool load_on_probe = false;
+  Time longest_stay_away = 0;  // 0: clients are not told when to come back
+  bool tells_start = false;
+  Time progress_every = 0;
+  double cold_from = 1;
+  Time warm_up = 0;
+  double fall_multiple = 1;
+  Time fall_span = kSecond;
+  double price_waste = 0;
+};
+
+// What an executor last said of its load; a negative value was not reported.
+struct Load {
+  double held = -1, waiting = -1, free_slots = -1, busy = -1;
+};
+
+// A sum whose parts lose weight with time: by 1/e every `life`. Brought up to date when read.
+struct DecayingSum {
+  double value = 0;
+  Time at = 0;
+  double read(Time now, Time life);
+  void add(Time now, Time life, double amount);
+};
+
+struct Executor {
+  bool known = false;
+  std::uint64_t listed = 0;  // the last list that named it
+  Standing standing = Standing::kGone;
+  int zone = 0, kind = 0, cell = 0;
+  Time started = 0;                 // 0: long ago
+  double work = 0, latency = 0;     // smoothed, of satisfied launches; their ratio is the speed
+  DecayingSum good, bad;            // outcomes, for the posterior of its chance of success
+  int open = 0, unstarted = 0;      // own launches unfinished, and of these not known to have begun
+  double open_cost = 0, running_width = 0, most_width = 1;
+  Load load;
+  Time load_at = 0;
+  int open_at_load = 0;
+  bool probing = false;
+  Time probed = 0;
+  std::deque<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
+};
+
+// The shortest time until an executor of a zone was first heard of, in this span and the one before.
+struct ZoneDelay {
+  Time now = kNever, before = kNever, since = 0;
+};
+
+struct Launch {
+  int executor = 0;
+  Time sent = 0, began = -1, heard = 0;
+  double cost = 0, share_done = 0;
+  bool pending = true, may_have_run = true, blamed = false;
+};
+
+struct Submission {
+  bool open = false, held = false;
+  std::uint32_t serial = 0;
+  int use_case = 0, customer = -1, width = 1;
+  double memory = 0, hint = 0;
+  bool within_share = true;
+  Time arrived = 0, due = 0, next_try = 0;
+  std::vector<Launch> launches;
+};
+
+class Host {
+ public:
+  virtual ~Host() = default;
+  virtual void launch(int submission, int executor, Time give_up_at) = 0;
+  virtual void push_back(int submission, Time stay_away) = 0;
+  virtual void abort(int submission) = 0;
+  virtual void cancel(int submission, int launch) = 0;
+  virtual void probe(int executor) = 0;
+  virtual void subscribe() = 0;
+  virtual void wake_at(Time when, std::uint64_t token) = 0;
+};
+
+class Policy {
+ public:
+  Policy(Settings settings, Host& host, std::uint32_t seed, Time now);
+
+  // The roster: one call for each entry, then one that closes the list.
+  void executor_listed(Time now, int executor, int zone, int kind, int cell, Standing standing, Time started);
+  void roster_arrived(Time now, RosterForm form);
+  void roster_refused(Time now);
+
+  void submission_arrived(Time now, int submission, int use_case, int customer, Time due, double hint, int width,
+                          double memory, bool repeat);
+  void launch_started(Time now, int submission, int launch);
+  void launch_progressed(Time now, int submission, int launch, double share_done);
+  void launch_ended(Time now, int submission, int launch, Outcome outcome, Time latency, bool settled,
+                    const Load* load);
+  void client_left(Time now, int submission);
+  void probe_answered(Time now, int executor, bool well, Time latency, const Load* load);
+  void peer_message(Time now, int sender, std::string_view bytes);
+  void timer_due(Time now, std::uint64_t token);
+
+  // The parts of a decision, open to tests and to whoever wants to look.
+  double speed(const Executor& executor) const;
+  Time delay(Time now, const Executor& executor) const;
+  static int choices(const std::vector<double>& chances);
+  int pick(Time now, const Submission& submission);
+  bool may_launch(Time now, const Submission& submission, int executor);
+  bool may_push_back(const Submission& submission) const;
+  double cold_budget(Time now, const Executor& executor) const;
+  double cost(const Submission& submission) const;
+
+  std::vector<Executor> executors;
+  std::vector<Submission> submissions;  // by the index that the adapter gives; reused
+
+ private:
+  void place(Time now, int submission);
+  void further(Time now, int submission);
+  void serve_held(Time now);
+  void launch(Time now, int submission, int executor);
+  void end(Time now, int submission, bool push_back);
+  void close_launch(Time now, Submission& submission, Launch& launch);
+  void follow_list(Time now);
+  void tick(Time now);
+  double value(const Submission& submission) const;
+  Time last_start_in_time(const Submission& submission) const;
+  bool has_room(const Executor& executor) const;
+  void heard_from(Time now, const Executor& executor, Time delay);
+  void blame(Time now, Launch& launch);
+  Time start_patience(Time now);
+  double mean_speed() const;
+  bool doubted(Time now, Executor& executor);
+  void take_load(Time now, Executor& executor, const Load* load);
+
+  Settings settings_;
+  Host& host_;
+  std::mt19937 random_;
+  std::vector<double> work_, work_weight_;  // learned cost of each use case, in seconds on the mean executor
+  std::vector<int> held_;                   // submissions without a launch, in order of arrival
+  std::vector<DecayingSum> asked_;          // by customer
+  std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
+  std::vector<ZoneDelay> zones_;
+  DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
+  std::uint64_t list_ = 0;                  // counts the lists, to tell who is absent from a whole one
+  bool subscribed_ = false;
+  Time next_ask_ = 0, ask_pause_ = 0;
+  std::uint32_t serial_ = 0;
+  std::vector<int> ready_;        // scratch of pick
+  std::vector<double> chances_;   // scratch of pick
+};
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/simhost/adapter.cpp
@@ -0,0 +1,468 @@
+#include "adapter.h"
+
+#define RAPIDJSON_HAS_STDSTRING 1
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <cmath>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "policy.h"
+
+namespace canvasstage::simhost {
+namespace {
+
+using Value = rapidjson::Value;
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+// Token 0 of the simulator's timers belongs to nobody; a timer's token goes through unchanged.
+constexpr std::uint32_t kPoolStart = 64 * 1024;
+
+[[noreturn]] void bad(const std::string& what) { throw BadInput(what); }
+
+const Value& at(const Value& message, rapidjson::SizeType index, const char* field) {
+  static const Value kNull;
+  if (index < message.Size()) return message[index];
+  (void)field;
+  return kNull;
+}
+
+double number(const Value& value, const char* field) {
+  if (!value.IsNumber()) bad(std::string(field) + ": a number is needed");
+  return value.GetDouble();
+}
+
+double number_or(const Value& value, double otherwise, const char* field) {
+  return value.IsNull() ? otherwise : number(value, field);
+}
+
+std::uint64_t whole(const Value& value, const char* field) {
+  if (!value.IsUint64()) bad(std::string(field) + ": a whole number is needed");
+  return value.GetUint64();
+}
+
+std::string_view text(const Value& value, const char* field) {
+  if (!value.IsString()) bad(std::string(field) + ": a string is needed");
+  return {value.GetString(), value.GetStringLength()};
+}
+
+// Rounded down, so that a deadline is never taken for later than it is; the nudge undoes the binary fraction.
+Time to_time(double seconds) {
+  const double units = seconds * kSecond + 1e-4;
+  return units > static_cast<double>(kNever) ? kNever : static_cast<Time>(std::floor(units));
+}
+
+// The settings: an object's member, or null where it is absent.
+const Value& member(const Value& object, const char* key) {
+  static const Value kNull;
+  if (!object.IsObject()) return kNull;
+  const auto found = object.FindMember(key);
+  return found == object.MemberEnd() ? kNull : found->value;
+}
+
+const Value& needed(const Value& object, const char* key) {
+  const Value& value = member(object, key);
+  if (value.IsNull()) bad(std::string("bootInfo: ") + key + " is missing");
+  return value;
+}
+
+bool flag(const Value& object, const char* key) {
+  const Value& value = member(object, key);
+  return value.IsBool() && value.GetBool();
+}
+
+double setting(const Value& object, const char* key, double otherwise) {
+  return number_or(member(object, key), otherwise, key);
+}
+
+int index_of(const std::vector<std::string>& names, std::string_view name) {
+  for (std::size_t i = 0; i < names.size(); ++i)
+    if (names[i] == name) return static_cast<int>(i);
+  return -1;
+}
+
+void read_names(const Value& list, const char* key, std::vector<std::string>& names) {
+  if (list.IsNull()) return;
+  if (!list.IsArray()) bad(std::string(key) + ": a list is needed");
+  for (const Value& name : list.GetArray()) names.emplace_back(text(name, key));
+}
+
+Outcome outcome_of(std::uint64_t status) {
+  switch (status) {
+    case 200: return Outcome::kSatisfied;
+    case 429: return Outcome::kTurnedAway;
+    case 408: return Outcome::kTimedOut;
+    case 521: return Outcome::kUnreachable;
+    case 520: return Outcome::kBroken;
+    case 444: return Outcome::kCancelled;
+    case 409: return Outcome::kUnsent;
+    default: return Outcome::kErrored;  // an outcome not known may have run
+  }
+}
+
+// The replies of one batch, written as they are decided.
+struct Reply {
+  rapidjson::StringBuffer buffer;
+  Writer writer{buffer};
+
+  void begin(const char* name, std::uint64_t instance) {
+    writer.StartArray();
+    writer.String(name);
+    writer.Uint64(instance);
+  }
+  void seconds(Time time) { writer.Double(static_cast<double>(time) / kSecond); }
+};
+
+// One node: the ids of its submissions and executors, its timers' tokens, and the module that decides for it.
+class Instance final : public Host {
+ public:
+  Instance(std::uint64_t id, Reply& reply) : id_(id), reply_(reply) {}
+
+  void hello(Time now, std::uint64_t seed, const Value& info);
+  void topology(Time now, const Value& message);
+  void event(Time now, std::string_view name, const Value& message);
+
+  void launch(int submission, int executor, Time give_up_at) override {
+    ++entries_[submission].pending;
+    open("Assign", submission);
+    reply_.writer.Uint64(executor_ids_[executor]);
+    reply_.seconds(give_up_at);
+    reply_.writer.EndArray();
+  }
+  void push_back(int submission, Time stay_away) override {
+    entries_[submission].ended = true;
+    open("Bounce", submission);
+    if (stay_away > 0) reply_.seconds(stay_away);
+    reply_.writer.EndArray();
+  }
+  void abort(int submission) override {
+    entries_[submission].ended = true;
+    open("EndFailed", submission);
+    reply_.writer.EndArray();
+  }
+  void cancel(int submission, int launch) override {
+    open("UndoSend", submission);
+    reply_.writer.Int(launch);
+    reply_.writer.EndArray();
+  }
+  void probe(int executor) override {
+    reply_.begin("Test", id_);
+    reply_.writer.Uint64(executor_ids_[executor]);
+    reply_.writer.EndArray();
+  }
+  void subscribe() override {
+    reply_.begin("Observe", id_);
+    reply_.writer.Bool(true);
+    reply_.writer.EndArray();
+  }
+  void wake_at(Time when, std::uint64_t token) override {
+    reply_.begin("Sleep", id_);
+    reply_.seconds(when);
+    reply_.writer.Uint64(token);
+    reply_.writer.EndArray();
+  }
+
+ private:
+  // The index of a submission is used again once it has its answer and every launch of it has ended.
+  struct Entry {
+    std::uint64_t id = 0;
+    int pending = 0;
+    bool ended = true;
+  };
+
+  void open(const char* name, int submission) {
+    reply_.begin(name, id_);
+    reply_.writer.Uint64(entries_[submission].id);
+  }
+  int submission(const Value& id) const {
+    const auto found = submissions_.find(whole(id, "msgId"));
+    return found == submissions_.end() ? -1 : found->second;
+  }
+  int executor(const Value& id) const {
+    const auto found = executors_.find(whole(id, "executor"));
+    return found == executors_.end() ? -1 : found->second;
+  }
+  int launch_of(int submission, const Value& leg) const {
+    const std::uint64_t number = whole(leg, "leg");
+    return number < policy_->submissions[submission].launches.size() ? static_cast<int>(number) : -1;
+  }
+  void release_if_over(int submission) {
+    Entry& entry = entries_[submission];
+    if (!entry.ended || entry.pending > 0) return;
+    submissions_.erase(entry.id);
+    free_.push_back(submission);
+  }
+  void arrive(Time now, const Value& message);
+  void result(Time now, const Value& message);
+  const Load* load(const Value& report, Load& into) const;
+
+  std::uint64_t id_;
+  Reply& reply_;
+  std::unique_ptr<Policy> policy_;
+  std::vector<std::string> zones_, kinds_, use_cases_, customers_, fields_;
+  std::unordered_map<std::uint64_t, int> submissions_, executors_;
+  std::vector<std::uint64_t> executor_ids_;
+  std::vector<Entry> entries_;
+  std::vector<int> free_;
+};
+
+void Instance::hello(Time now, std::uint64_t seed, const Value& info) {
+  if (!info.IsObject()) bad("bootInfo: an object is needed");
+  read_names(member(info, "zones"), "zones", zones_);
+  read_names(member(info, "shapes"), "shapes", kinds_);
+  read_names(member(member(info, "report"), "fields"), "report.fields", fields_);
+  Settings s;
+  const Value& domain = member(info, "domain");
+  const Value& stretch = member(domain, "classStretch");
+  const Value& kind = member(domain, "classKind");
+  const Value& cases = needed(info, "useCases");
+  if (!cases.IsArray() || cases.Empty()) bad("useCases: a list is needed");
+  for (rapidjson::SizeType i = 0; i < cases.Size(); ++i) {
+    const Value& from = cases[i];
+    use_cases_.emplace_back(text(needed(from, "name"), "useCases.name"));
+    UseCase u;
+    u.agreed_time = to_time(number(needed(from, "agreedTime"), "agreedTime"));
+    u.hard_limit = to_time(number(needed(from, "hardLimit"), "hardLimit"));
+    u.stretch = setting(from, "aimStretch", 0);
+    if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
+    if (kind.IsArray() && i < kind.Size()) u.machine_kind = static_cast<int>(number(kind[i], "domain.classKind"));
+    u.billing_value = setting(from, "billingValue", 1);
+    u.overdue_value = setting(from, "overdueBillingValue", 0);
+    const std::string_view effect = text(needed(from, "semantics"), "semantics");
+    u.effect = effect == "free"      ? Effect::kReplayable
+               : effect == "guarded" ? Effect::kReferenced
+                                     : Effect::kSingleUse;
+    const Value& group = member(from, "group");
+    if (group.IsString()) {
+      const std::string_view name = text(group, "group");
+      u.group = name == "all" ? Group::kAll : name == "zone" ? Group::kZone : Group::kCell;
+    } else if (u.effect == Effect::kReferenced) {
+      bad("bootInfo: group is missing");
+    }
+    u.window = to_time(setting(from, "window", 0));
+    s.use_cases.push_back(u);
+  }
+  const Value& tenants = member(info, "tenants");
+  if (tenants.IsArray())
+    for (const Value& tenant : tenants.GetArray()) {
+      customers_.emplace_back(text(needed(tenant, "name"), "tenants.name"));
+      s.allowances.push_back(setting(tenant, "allowancePerS", 0));
+    }
+  s.overage_value = setting(info, "overageBillingValue", 1);
+  const Value& locality = member(info, "locality");
+  if (locality.IsString()) s.zone = index_of(zones_, text(locality, "locality"));
+  s.replicas = static_cast<int>(number(needed(info, "replicasOfMe"), "replicasOfMe"));
+  s.quantum = to_time(setting(info, "quantum", 0.001));
+  const Value& mode = member(info, "membershipMode");
+  s.ask_for_roster = mode.IsString() && text(mode, "membershipMode") == "ask";
+  const Value& caps = needed(info, "caps");
+  s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
+  s.second_copies = flag(caps, "secondCopies");
+  s.cancelling = flag(caps, "cancelling");
+  s.probing = flag(caps, "probes");
+  if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
+  const Value& how = member(member(info, "report"), "how");
+  s.load_on_probe = how.IsString() && text(how, "report.how") == "on_probe";
+  s.tells_start = flag(domain, "tellsStart");
+  s.progress_every = to_time(setting(domain, "progress", 0));
+  const Value& rules = needed(info, "guarantees");
+  s.ask_within = to_time(setting(rules, "askWithin", 1e9));
+  s.cold_from = setting(rules, "coldFrom", 1);
+  s.warm_up = to_time(setting(rules, "warmUp", 0));
+  s.fall_multiple = setting(rules, "fallMultiple", 1);
+  s.fall_span = to_time(setting(rules, "overloadFor", 1));
+  s.price_waste = setting(member(info, "prices"), "waste", 0);
+  policy_ = std::make_unique<Policy>(std::move(s), *this, static_cast<std::uint32_t>(seed), now);
+}
+
+void Instance::topology(Time now, const Value& message) {
+  const std::string_view form = text(at(message, 2, "form"), "form");
+  if (form == "refused") return policy_->roster_refused(now);
+  const Value& rows = at(message, 4, "rows");
+  if (!rows.IsArray()) bad("rows: a list is needed");
+  for (const Value& row : rows.GetArray()) {
+    if (!row.IsArray()) bad("rows: an entry must be a list");
+    const std::uint64_t id = whole(at(row, 0, "executor"), "executor");
+    const auto [found, added] = executors_.try_emplace(id, static_cast<int>(executor_ids_.size()));
+    if (added) executor_ids_.push_back(id);
+    const std::string_view lifecycle = text(at(row, 4, "lifecycle"), "lifecycle");
+    const Standing standing = lifecycle == "U"   ? Standing::kReady
+                              : lifecycle == "L" ? Standing::kDraining
+                                                 : Standing::kGone;
+    const Value& zone = at(row, 1, "zone");
+    const Value& kind = at(row, 2, "kind");
+    policy_->executor_listed(now, found->second, zone.IsString() ? index_of(zones_, text(zone, "zone")) : -1,
+                             kind.IsString() ? index_of(kinds_, text(kind, "kind")) : -1,
+                             static_cast<int>(number_or(at(row, 3, "unitGroup"), -1, "unitGroup")), standing,
+                             to_time(number_or(at(row, 6, "launched"), 0, "launched")));
+  }
+  policy_->roster_arrived(now, form == "all"          ? RosterForm::kWhole
+                               : form == "remembered" ? RosterForm::kRemembered
+                                                      : RosterForm::kChanges);
+}
+
+void Instance::arrive(Time now, const Value& message) {
+  const std::uint64_t id = whole(at(message, 2, "msgId"), "msgId");
+  const int use_case = index_of(use_cases_, text(at(message, 3, "kind"), "kind"));
+  if (use_case < 0) bad("kind: not a use case of the settings");
+  const Value& project = at(message, 4, "project");
+  const int customer = project.IsString() ? index_of(customers_, text(project, "project")) : -1;
+  const Time due = to_time(number(at(message, 6, "due"), "due"));
+  const std::uint64_t attrs = static_cast<std::uint64_t>(number_or(at(message, 10, "attrs"), 0, "attrs"));
+  const Value& hint = at(message, 7, "workHint");
+  int index = static_cast<int>(entries_.size());
+  if (free_.empty()) {
+    entries_.emplace_back();
+  } else {
+    index = free_.back();
+    free_.pop_back();
+  }
+  entries_[index] = {id, 0, false};
+  submissions_[id] = index;
+  policy_->submission_arrived(now, index, use_case, customer, due,
+                              (attrs & 1) != 0 ? number_or(hint, 0, "workHint") : 0,
+                              static_cast<int>(number_or(at(message, 8, "width"), 1, "width")),
+                              number_or(at(message, 9, "mem"), 0, "mem"), (attrs & 2) != 0);
+  release_if_over(index);
+}
+
+const Load* Instance::load(const Value& report, Load& into) const {
+  if (!report.IsArray()) return nullptr;
+  for (rapidjson::SizeType i = 0; i < report.Size() && i < fields_.size(); ++i) {
+    if (!report[i].IsNumber()) continue;
+    const double value = report[i].GetDouble();
+    if (fields_[i] == "outstanding") into.held = value;
+    if (fields_[i] == "backlog") into.waiting = value;
+    if (fields_[i] == "x0") into.free_slots = value;
+    if (fields_[i] == "utilization") into.busy = value;
+  }
+  return &into;
+}
+
+void Instance::result(Time now, const Value& message) {
+  const int index = submission(at(message, 2, "msgId"));
+  const Value& settled = at(message, 6, "settled");
+  const std::uint64_t status = whole(at(message, 7, "status"), "status");
+  const Time latency = to_time(number_or(at(message, 8, "latency"), 0, "latency"));
+  if (index < 0) return;
+  const int leg = launch_of(index, at(message, 4, "leg"));
+  if (leg < 0) return;
+  Entry& entry = entries_[index];
+  --entry.pending;
+  const bool over = settled.IsBool() && settled.GetBool();
+  if (over) entry.ended = true;
+  Load report;
+  policy_->launch_ended(now, index, leg, outcome_of(status), latency, over,
+                        load(at(message, 9, "pressure"), report));
+  release_if_over(index);
+}
+
+void Instance::event(Time now, std::string_view name, const Value& message) {
+  if (name == "Knock") return arrive(now, message);
+  if (name == "Result") return result(now, message);
+  if (name == "TickDue") return policy_->timer_due(now, whole(at(message, 2, "keyBack"), "keyBack"));
+  if (name == "Topology") return topology(now, message);
+  if (name == "StatusNote") {
+    const int index = submission(at(message, 2, "msgId"));
+    const std::uint64_t sort = whole(at(message, 5, "sort"), "sort");
+    const int leg = index < 0 ? -1 : launch_of(index, at(message, 3, "leg"));
+    if (leg < 0) return;
+    if (sort == 1) policy_->launch_started(now, index, leg);
+    if (sort == 2) policy_->launch_progressed(now, index, leg, number_or(at(message, 6, "value"), 0, "value"));
+    return;
+  }
+  if (name == "ClientGone") {
+    const int index = submission(at(message, 2, "msgId"));
+    if (index < 0) return;
+    entries_[index].ended = true;
+    policy_->client_left(now, index);
+    return release_if_over(index);
+  }
+  if (name == "Checked") {
+    const int index = executor(at(message, 2, "executor"));
+    const std::uint64_t status = whole(at(message, 3, "status"), "status");
+    Load report;
+    const Load* given = load(at(message, 5, "pressure"), report);
+    if (index < 0) return;
+    return policy_->probe_answered(now, index, status == 200,
+                                   to_time(number_or(at(message, 4, "latency"), 0, "latency")), given);
+  }
+  if (name == "Message")
+    return policy_->peer_message(now, static_cast<int>(number_or(at(message, 2, "sender"), -1, "sender")),
+                                 text(at(message, 3, "bytes"), "bytes"));
+}
+
+}  // namespace
+
+struct Adapter::Body {
+  std::unordered_map<std::uint64_t, std::unique_ptr<Instance>> instances;
+  Reply reply;
+  std::vector<char> pool = std::vector<char>(kPoolStart);
+};
+
+Adapter::Adapter() : body_(std::make_unique<Body>()) {}
+Adapter::~Adapter() = default;
+
+std::string_view Adapter::answer(std::string& line) {
+  rapidjson::MemoryPoolAllocator<> memory(body_->pool.data(), body_->pool.size());
+  rapidjson::Document batch(&memory);
+  batch.ParseInsitu<rapidjson::kParseFullPrecisionFlag>(line.data());
+  if (batch.HasParseError())
+    bad(std::string("not JSON: ") + rapidjson::GetParseError_En(batch.GetParseError()));
+  if (!batch.IsObject()) bad("a batch must be an object");
+  const Time now = to_time(number(member(batch, "clock"), "clock"));
+  const Value& news = member(batch, "news");
+  if (!news.IsArray()) bad("news: a list is needed");
+  Reply& reply = body_->reply;
+  reply.buffer.Clear();
+  reply.writer.Reset(reply.buffer);
+  reply.writer.StartObject();
+  reply.writer.Key("actions");
+  reply.writer.StartArray();
+  for (const Value& message : news.GetArray()) {
+    if (!message.IsArray() || message.Empty()) bad("news: a message must be a list that begins with its name");
+    const std::string_view name = text(message[0], "news: a message's name");
+    static constexpr std::string_view kKnown[] = {"Hello",      "Topology",   "Knock",   "TickDue", "CrashNow",
+                                                  "StatusNote", "ClientGone", "Checked", "Result",  "Message"};
+    bool known = false;
+    for (const std::string_view k : kKnown) known = known || k == name;
+    if (!known) continue;  // an event of a later wire
+    try {
+      const std::uint64_t id = whole(at(message, 1, "node"), "node");
+      if (name == "CrashNow") {
+        body_->instances.erase(id);
+        continue;
+      }
+      if (name == "Hello") {
+        auto instance = std::make_unique<Instance>(id, reply);
+        instance->hello(now, whole(at(message, 2, "initSeed"), "initSeed"), at(message, 3, "bootInfo"));
+        body_->instances[id] = std::move(instance);
+        continue;
+      }
+      const auto found = body_->instances.find(id);
+      if (found == body_->instances.end()) continue;
+      try {
+        found->second->event(now, name, message);
+      } catch (const BadInput&) {
+        throw;
+      } catch (const std::exception& failure) {
+        reply.begin("Panic", id);
+        reply.writer.String(failure.what());
+        reply.writer.EndArray();
+      }
+    } catch (const BadInput& input) {
+      bad(std::string(name) + ": " + input.what());
+    }
+  }
+  reply.writer.EndArray();
+  reply.writer.EndObject();
+  reply.buffer.Put('\n');
+  return {reply.buffer.GetString(), reply.buffer.GetSize()};
+}
+
+}  // namespace canvasstage::simhost
--- /dev/null
+++ b/src/simhost/adapter.h
@@ -0,0 +1,29 @@
+// The simulator's wire: framing, JSON, ids and units. Takes no decision.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace canvasstage::simhost {
+
+// Input that cannot be read; the message names the field.
+struct BadInput : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Adapter {
+ public:
+  Adapter();
+  ~Adapter();
+  // Reads one batch in place and returns the reply, with its newline; valid until the next call.
+  std::string_view answer(std::string& line);
+
+ private:
+  struct Body;
+  std::unique_ptr<Body> body_;
+};
+
+}  // namespace canvasstage::simhost
--- /dev/null
+++ b/src/simhost/main.cpp
@@ -0,0 +1,57 @@
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <iostream>
+#include <string>
+
+#include "adapter.h"
+
+namespace {
+
+constexpr const char* kUsage =
+    "usage: canvasstage_simhost [--help | --version]\n"
+    "Reads batches of events from standard input, one JSON object a line, and writes one reply a line.\n";
+
+bool write_all(std::string_view text) {
+  while (!text.empty()) {
+    const ssize_t n = ::write(STDOUT_FILENO, text.data(), text.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return false;
+    text.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc == 2 && std::strcmp(argv[1], "--help") == 0) {
+    std::cout << kUsage;
+    return 0;
+  }
+  if (argc == 2 && std::strcmp(argv[1], "--version") == 0) {
+    std::cout << "canvasstage_simhost " CANVASSTAGE_VERSION "\n";
+    return 0;
+  }
+  if (argc != 1) {
+    std::cerr << kUsage;
+    return 2;
+  }
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  canvasstage::simhost::Adapter adapter;
+  std::string line;
+  for (std::uint64_t number = 1; std::getline(std::cin, line); ++number) {
+    try {
+      if (!write_all(adapter.answer(line))) {
+        std::cerr << "canvasstage_simhost: cannot write: " << std::strerror(errno) << '\n';
+        return 1;
+      }
+    } catch (const canvasstage::simhost::BadInput& bad) {
+      std::cerr << "canvasstage_simhost: line " << number << ": " << bad.what() << '\n';
+      return 1;
+    }
+  }
+  return 0;
+}
