--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -209,7 +209,7 @@
     const Executor& executor = executors[ready_[drawn]];
     const double v = speed_of(executor);
     double queued = executor.open_cost / v;
-    if (executor.load.held >= 0) queued += std::max(0.0, executor.load.held - executor.open_at_load) * work / v;
+    if (executor.load.waiting >= 0) queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v;
     const double finish = queued + work / v + seconds(delay(now, executor));
     if (best < 0 || finish < least) {
       best = ready_[drawn];
@@ -296,7 +296,7 @@
 
 // How many launches of ours may wait at an executor without having begun. More would only move the queue to
 // where its order can no longer be chosen.
-constexpr int kMostUnstarted = 2;
+constexpr int kMostUnstarted = 1;
 
 bool Policy::has_room(const Executor& executor) const {
   return !settings_.tells_start || executor.unstarted < kMostUnstarted;
@@ -495,7 +495,7 @@
   if (load == nullptr) return;
   executor.load = *load;
   executor.load_at = now;
-  executor.open_at_load = executor.open;
+  executor.unstarted_at_load = executor.unstarted;
 }
 
 void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
--- a/src/policy.h
+++ b/src/policy.h
@@ -85,7 +85,7 @@
   double open_cost = 0, running_width = 0, most_width = 1;
   Load load;
   Time load_at = 0;
-  int open_at_load = 0;
+  int unstarted_at_load = 0;
   bool probing = false;
   Time probed = 0;
   std::deque<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
