--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -500,7 +500,7 @@
 
 void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
                           const Load* load) {
-  constexpr double kSpeedWeight = 0.2;   // the design page's start
+  constexpr double kSpeedWeight = 0.1;   // the design page's start
   constexpr double kCostWeight = 0.02;   // costs spread widely; one heavy submission must not move the mean far
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
