--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -174,13 +174,19 @@
   return std::clamp(static_cast<int>(std::ceil(lower)), 2, count);
 }
 
+bool Policy::tried(const Submission& submission, int executor) const {
+  return std::any_of(submission.launches.begin(), submission.launches.end(),
+                     [&](const Launch& launch) { return launch.executor == executor; });
+}
+
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
   for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
     for (int i = 0; i < static_cast<int>(executors.size()); ++i)
       // If every executor looks bad the work still flows: the second pass asks nothing of health.
-      if (has_room(executors[i]) && may_launch(now, submission, i) && (pass == 1 || !doubted(now, executors[i])))
+      if (has_room(executors[i]) && may_launch(now, submission, i) &&
+          (pass == 1 || (!tried(submission, i) && !doubted(now, executors[i]))))
         ready_.push_back(i);
   if (ready_.empty()) return -1;
   const double work = cost(submission);
@@ -318,7 +324,7 @@
   if (now - executor.started < settings_.warm_up + settings_.fall_span)
     executor.cold_sends.emplace_back(now, launch.cost * submission.width);
   host_.launch(index, to, submission.due);
-  host_.wake_at(now + start_patience(now), (std::uint64_t{submission.serial} << kIndexBits) | index);
+  host_.wake_at(now + queue_patience(now, launch), (std::uint64_t{submission.serial} << kIndexBits) | index);
 }
 
 void Policy::close_launch(Time, Submission& submission, Launch& launch) {
@@ -434,39 +440,65 @@
   return std::max(kLeast, from_seconds(kMultiple * mean));
 }
 
+// How long a launch waits to begin before a free slot is sought elsewhere. An executor with a free slot tells of
+// the start one round trip after the send, so any longer means a queue, whose length nobody tells.
+Time Policy::queue_patience(Time now, const Launch& launch) const {
+  constexpr Time kSlack = kSecond / 40;  // a handshake, jitter and a few beats of the clock
+  constexpr double kOfRun = 0.1;         // a wait that is little beside the run is not worth a connection
+  return kSlack + 2 * delay(now, executors[launch.executor]) + from_seconds(kOfRun * launch.cost / mean_speed());
+}
+
 // Looks at a submission that may need a further launch, or has come near its hard limit without one.
 void Policy::further(Time now, int index) {
   Submission& submission = submissions[index];
-  bool pending = false;
+  bool pending = false, stuck = true;
   Time next = kNever;
   for (std::size_t i = 0; i < submission.launches.size(); ++i) {
     Launch& launch = submission.launches[i];
     if (!launch.pending) continue;
     pending = true;
     Time patience = kNever;
-    if (launch.began < 0) {
-      if (settings_.tells_start) patience = start_patience(now);
-    } else if (settings_.progress_every > 0) {
+    if (launch.began < 0 && settings_.tells_start) {
+      patience = start_patience(now);
+      const Time queued = queue_patience(now, launch);
+      if (now - launch.sent < queued) stuck = false;
+      if (now - launch.sent < queued) next = std::min(next, launch.sent + queued);
+    } else if (launch.began >= 0 && settings_.progress_every > 0) {
       patience = settings_.progress_every * 3 / 2 + kSecond / 10;
     }
-    if (patience == kNever || launch.blamed) continue;
-    if (now - launch.heard < patience) {
+    if (patience == kNever) {
+      stuck = false;
+    } else if (now - launch.heard < patience) {
+      if (launch.began >= 0) stuck = false;
       next = std::min(next, launch.heard + patience);
-      continue;
-    }
-    blame(now, launch);
-    if (settings_.second_copies) {
-      const int to = pick(now, submission);
-      if (to >= 0) {
-        Policy::launch(now, index, to);
-        break;
-      }
+    } else {
+      blame(now, launch);
     }
   }
   if (!pending && submission.held && now >= submission.due - 2 * settings_.quantum) return end(now, index, true);
+  if (pending && stuck) seek_elsewhere(now, index);
   if (next < submission.due) host_.wake_at(next, (std::uint64_t{submission.serial} << kIndexBits) | index);
 }
 
+// A submission none of whose launches moves: a second copy where that is allowed, else the launch is taken back
+// to be sent elsewhere, if anywhere else has room and the effect permits it.
+void Policy::seek_elsewhere(Time now, int index) {
+  Submission& submission = submissions[index];
+  if (settings_.second_copies) {
+    const int to = pick(now, submission);
+    if (to >= 0) Policy::launch(now, index, to);
+    return;
+  }
+  Launch& launch = submission.launches.back();
+  if (!settings_.cancelling || !launch.pending || launch.cancelled || !launch.blamed) return;
+  launch.pending = false;
+  const bool elsewhere = pick(now, submission) >= 0;
+  launch.pending = true;
+  if (!elsewhere) return;
+  launch.cancelled = true;
+  host_.cancel(index, static_cast<int>(submission.launches.size()) - 1);
+}
+
 void Policy::launch_started(Time now, int index, int number) {
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
@@ -482,6 +514,12 @@
   if (settings_.progress_every > 0 && submission.open)
     host_.wake_at(now + settings_.progress_every * 3 / 2 + kSecond / 10,
                   (std::uint64_t{submission.serial} << kIndexBits) | index);
+  for (std::size_t i = 0; i < submission.launches.size(); ++i) {
+    Launch& other = submission.launches[i];
+    if (&other == &launch || !other.pending || other.cancelled || !settings_.cancelling) continue;
+    other.cancelled = true;  // one that waits is dropped unrun
+    host_.cancel(index, static_cast<int>(i));
+  }
   serve_held(now);
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -100,7 +100,7 @@
   int executor = 0;
   Time sent = 0, began = -1, heard = 0;
   double cost = 0, share_done = 0;
-  bool pending = true, may_have_run = true, blamed = false;
+  bool pending = true, may_have_run = true, blamed = false, cancelled = false;
 };
 
 struct Submission {
@@ -173,6 +173,9 @@
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
   Time start_patience(Time now);
+  Time queue_patience(Time now, const Launch& launch) const;
+  void seek_elsewhere(Time now, int submission);
+  bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
