--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -352,12 +352,37 @@
   return use_case.billing_value * (submission.within_share ? 1.0 : settings_.overage_value);
 }
 
-// The last moment at which a launch would still end within the agreed time, by what its use case usually takes.
-Time Policy::last_start_in_time(const Submission& submission) const {
+// The moment until which a start still leaves this chance of ending within the agreed time. The own work is not
+// known; it is taken to spread exponentially about its use case's mean. A long submission has the longer agreed
+// time, so it is the short ones that a wait makes late.
+Time Policy::last_start(const Submission& submission, double chance) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const double own = cost(submission);
-  return std::min(submission.due, submission.arrived + use_case.agreed_time + from_seconds(use_case.stretch * own)) -
-         from_seconds(own / mean_speed());
+  const double leeway = std::max(0.1, use_case.stretch - 1 / mean_speed());
+  return std::min(submission.due - from_seconds(own / mean_speed()),
+                  submission.arrived + use_case.agreed_time + from_seconds(own * leeway * std::log(1 / chance)));
+}
+
+double Policy::chance_in_time(Time now, const Submission& submission) const {
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  const Time over = now - submission.arrived - use_case.agreed_time;
+  if (over <= 0) return 1;
+  return std::exp(-seconds(over) / (cost(submission) * std::max(0.1, use_case.stretch - 1 / mean_speed())));
+}
+
+// Told by how long the oldest held submission has waited. Held: taken, and no launch of it pending.
+bool Policy::overloaded(Time now) const {
+  constexpr Time kLongWait = kSecond / 20;  // longer than a beat of the clock and a round trip
+  return !held_.empty() && now - submissions[held_.front()].arrived > kLongWait;
+}
+
+// Until when a submission that has not begun is kept. In an overload it gives way once it is more likely late
+// than not; else only when there is hardly a chance, or none of late value.
+Time Policy::keep_until(Time now, const Submission& submission) const {
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  const Time limit = submission.due - 2 * settings_.quantum;
+  if (overloaded(now)) return std::min(limit, last_start(submission, 0.5));
+  return use_case.overdue_value > 0 ? limit : std::min(limit, last_start(submission, 0.05));
 }
 
 // Held submissions go out as room appears, the most valuable for their work first; those that can no longer be
@@ -368,10 +393,7 @@
   for (const int index : held_) {
     Submission& submission = submissions[index];
     if (over(index)) continue;
-    const UseCase& use_case = settings_.use_cases[submission.use_case];
-    const Time until = use_case.overdue_value > 0 ? submission.due - 2 * settings_.quantum
-                                                  : last_start_in_time(submission);
-    if (now >= std::min(until, submission.due - 2 * settings_.quantum)) end(now, index, true);
+    if (now >= keep_until(now, submission)) end(now, index, true);
   }
   std::erase_if(held_, over);
   if (std::none_of(executors.begin(), executors.end(),
@@ -381,8 +403,9 @@
   for (const int index : held_) {
     const Submission& submission = submissions[index];
     const UseCase& use_case = settings_.use_cases[submission.use_case];
-    const bool late = now > last_start_in_time(submission);
-    order.emplace_back(-value(submission) * (late ? use_case.overdue_value : 1.0) / cost(submission), index);
+    const double chance = chance_in_time(now, submission);
+    const double part = chance + (1 - chance) * use_case.overdue_value;
+    order.emplace_back(-value(submission) * part / (cost(submission) * submission.width), index);
   }
   std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [key, index] : order) {
@@ -475,7 +498,15 @@
       blame(now, launch);
     }
   }
-  if (!pending && submission.held && now >= submission.due - 2 * settings_.quantum) return end(now, index, true);
+  const bool begun = std::any_of(submission.launches.begin(), submission.launches.end(),
+                                 [](const Launch& launch) { return launch.pending && launch.began >= 0; });
+  if (!begun && settings_.tells_start) {
+    const Time until = keep_until(now, submission);
+    if (now >= until) return end(now, index, true);
+    next = std::min(next, until);
+  } else if (!pending && now >= submission.due - 2 * settings_.quantum) {
+    return end(now, index, true);
+  }
   if (pending && stuck) seek_elsewhere(now, index);
   if (next < submission.due) host_.wake_at(next, (std::uint64_t{submission.serial} << kIndexBits) | index);
 }
@@ -490,7 +521,7 @@
     return;
   }
   Launch& launch = submission.launches.back();
-  if (!settings_.cancelling || !launch.pending || launch.cancelled || !launch.blamed) return;
+  if (!settings_.cancelling || !launch.pending || launch.cancelled || launch.began < 0) return;
   launch.pending = false;
   const bool elsewhere = pick(now, submission) >= 0;
   launch.pending = true;
--- a/src/policy.h
+++ b/src/policy.h
@@ -168,7 +168,10 @@
   void follow_list(Time now);
   void tick(Time now);
   double value(const Submission& submission) const;
-  Time last_start_in_time(const Submission& submission) const;
+  Time last_start(const Submission& submission, double chance) const;
+  double chance_in_time(Time now, const Submission& submission) const;
+  bool overloaded(Time now) const;
+  Time keep_until(Time now, const Submission& submission) const;
   bool has_room(const Executor& executor) const;
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
