--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -159,7 +159,7 @@
 
 // The number of candidates: the smallest integer in [(1 - epsilon) f, (1 + epsilon) f], from 2 to K.
 int Policy::choices(const std::vector<double>& chances) {
-  constexpr double kEpsilon = 0.5;  // the design page's start
+  constexpr double kEpsilon = 0.1;  // the design page's start
   const int count = static_cast<int>(chances.size());
   if (count <= 2) return count;
   const auto [least, most] = std::minmax_element(chances.begin(), chances.end());
@@ -179,6 +179,17 @@
                      [&](const Launch& launch) { return launch.executor == executor; });
 }
 
+// A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report. It
+// fades over about a submission's run.
+constexpr Time kWaitLife = kSecond * 3 / 10;
+
+void Policy::saw_wait(Time now, Launch& launch) {
+  Executor& executor = executors[launch.executor];
+  const double waited = seconds(now - launch.sent - delay(now, executor));
+  executor.wait.value = std::max(0.0, waited);
+  executor.wait.at = now;
+}
+
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
@@ -212,10 +223,11 @@
       at -= chances_[i];
       if (at < 0) break;
     }
-    const Executor& executor = executors[ready_[drawn]];
+    Executor& executor = executors[ready_[drawn]];
     const double v = speed_of(executor);
     double queued = executor.open_cost / v;
     if (executor.load.waiting >= 0) queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v;
+    queued += executor.wait.read(now, kWaitLife);
     const double finish = queued + work / v + seconds(delay(now, executor));
     if (best < 0 || finish < least) {
       best = ready_[drawn];
@@ -327,14 +339,15 @@
   host_.wake_at(now + queue_patience(now, launch), (std::uint64_t{submission.serial} << kIndexBits) | index);
 }
 
-void Policy::close_launch(Time, Submission& submission, Launch& launch) {
+void Policy::close_launch(Time now, Submission& submission, Launch& launch) {
   launch.pending = false;
   Executor& executor = executors[launch.executor];
   --executor.open;
   executor.open_cost = executor.open == 0 ? 0 : executor.open_cost - launch.cost;
-  if (launch.began < 0)
+  if (launch.began < 0) {
+    saw_wait(now, launch);
     --executor.unstarted;
-  else
+  } else
     executor.running_width -= submission.width;
 }
 
@@ -542,6 +555,7 @@
   start_wait_.add(now, kHealthLife, seconds(now - launch.sent));
   starts_.add(now, kHealthLife, 1);
   heard_from(now, executor, now - launch.sent);
+  saw_wait(now, launch);
   if (settings_.progress_every > 0 && submission.open)
     host_.wake_at(now + settings_.progress_every * 3 / 2 + kSecond / 10,
                   (std::uint64_t{submission.serial} << kIndexBits) | index);
--- a/src/policy.h
+++ b/src/policy.h
@@ -83,6 +83,7 @@
   DecayingSum good, bad;            // outcomes, for the posterior of its chance of success
   int open = 0, unstarted = 0;      // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0, most_width = 1;
+  DecayingSum wait;                 // seconds that the last launch waited to begin
   Load load;
   Time load_at = 0;
   int unstarted_at_load = 0;
@@ -176,6 +177,7 @@
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
   Time start_patience(Time now);
+  void saw_wait(Time now, Launch& launch);
   Time queue_patience(Time now, const Launch& launch) const;
   void seek_elsewhere(Time now, int submission);
   bool tried(const Submission& submission, int executor) const;
