--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -193,10 +193,12 @@
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
+  const Time latest = std::max(last_start(submission, 0.5), now);
   for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
     for (int i = 0; i < static_cast<int>(executors.size()); ++i)
       // If every executor looks bad the work still flows: the second pass asks nothing of health.
-      if (has_room(executors[i]) && may_launch(now, submission, i) &&
+      if (has_room(executors[i]) && now + from_seconds(executors[i].wait.read(now, kWaitLife)) <= latest &&
+          may_launch(now, submission, i) &&
           (pass == 1 || (!tried(submission, i) && !doubted(now, executors[i]))))
         ready_.push_back(i);
   if (ready_.empty()) return -1;
@@ -358,6 +360,7 @@
   if (submission.held) return;
   submission.held = true;
   held_.push_back(index);
+  host_.wake_at(now + kSecond / 50, (std::uint64_t{submission.serial} << kIndexBits) | index);
 }
 
 double Policy::value(const Submission& submission) const {
@@ -521,6 +524,10 @@
     return end(now, index, true);
   }
   if (pending && stuck) seek_elsewhere(now, index);
+  if (submission.held) {
+    serve_held(now);
+    next = std::min(next, now + kSecond / 50);
+  }
   if (next < submission.due) host_.wake_at(next, (std::uint64_t{submission.serial} << kIndexBits) | index);
 }
 
