--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -181,7 +181,7 @@
 
 // A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report. It
 // fades over about a submission's run.
-constexpr Time kWaitLife = kSecond * 3 / 10;
+constexpr Time kWaitLife = kSecond * 6 / 10;
 
 void Policy::saw_wait(Time now, Launch& launch) {
   Executor& executor = executors[launch.executor];
