--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -193,7 +193,7 @@
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
-  const Time latest = std::max(last_start(submission, 0.5), now);
+  const Time latest = std::max(last_start(submission, 0.7), now);
   for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
     for (int i = 0; i < static_cast<int>(executors.size()); ++i)
       // If every executor looks bad the work still flows: the second pass asks nothing of health.
@@ -397,7 +397,7 @@
 Time Policy::keep_until(Time now, const Submission& submission) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
-  if (overloaded(now)) return std::min(limit, last_start(submission, 0.5));
+  if (overloaded(now)) return std::min(limit, last_start(submission, 0.7));
   return use_case.overdue_value > 0 ? limit : std::min(limit, last_start(submission, 0.05));
 }
 
