--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -182,8 +182,8 @@
                      [&](const Launch& launch) { return launch.executor == executor; });
 }
 
-// A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report. It
-// fades over about a submission's run.
+// A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report. Both
+// fade over about a submission's run.
 constexpr Time kWaitLife = kSecond * 6 / 10;
 
 void Policy::saw_wait(Time now, Launch& launch) {
@@ -231,7 +231,9 @@
     Executor& executor = executors[ready_[drawn]];
     const double v = speed_of(executor);
     double queued = executor.open_cost / v;
-    if (executor.load.waiting >= 0) queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v;
+    if (executor.load.waiting >= 0)
+      queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
+                std::exp(-static_cast<double>(now - executor.load_at) / kWaitLife);
     queued += executor.wait.read(now, kWaitLife);
     const double finish = queued + work / v + seconds(delay(now, executor));
     if (best < 0 || finish < least) {
