--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -403,7 +403,7 @@
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
   if (overloaded(now)) return std::min(limit, last_start(submission, kGiveWayChance));
-  return use_case.overdue_value > 0 ? limit : std::min(limit, last_start(submission, 0.05));
+  return use_case.overdue_value > 0 ? limit : std::min(limit, last_start(submission, 0.4));
 }
 
 // Held submissions go out as room appears, the most valuable for their work first; those that can no longer be
