--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -392,14 +392,16 @@
 }
 
 // Told by how long the oldest held submission has waited. Held: taken, and no launch of it pending.
-bool Policy::overloaded(Time now) const {
+// It counts for a while after: when room appears the held ones go at once, and the crowd is still there.
+bool Policy::overloaded(Time now) {
   constexpr Time kLongWait = kSecond / 20;  // longer than a beat of the clock and a round trip
-  return !held_.empty() && now - submissions[held_.front()].arrived > kLongWait;
+  if (!held_.empty() && now - submissions[held_.front()].arrived > kLongWait) overload_seen_ = now;
+  return now - overload_seen_ < kSecond;
 }
 
 // Until when a submission that has not begun is kept. In an overload it gives way once it is more likely late
 // than not; else only when there is hardly a chance, or none of late value.
-Time Policy::keep_until(Time now, const Submission& submission) const {
+Time Policy::keep_until(Time now, const Submission& submission) {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
   if (overloaded(now)) return std::min(limit, last_start(submission, kGiveWayChance));
--- a/src/policy.h
+++ b/src/policy.h
@@ -171,8 +171,8 @@
   double value(const Submission& submission) const;
   Time last_start(const Submission& submission, double chance) const;
   double chance_in_time(Time now, const Submission& submission) const;
-  bool overloaded(Time now) const;
-  Time keep_until(Time now, const Submission& submission) const;
+  bool overloaded(Time now);
+  Time keep_until(Time now, const Submission& submission);
   bool has_room(const Executor& executor) const;
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
@@ -196,6 +196,7 @@
   DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
   std::uint64_t list_ = 0;                  // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
+  Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
   std::vector<int> ready_;        // scratch of pick
