--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -597,6 +597,9 @@
 
 void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
                           const Load* load) {
+  // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning: one
+  // error must outweigh the successes of its last seconds.
+  constexpr double kErrorWeight = 3;
   constexpr double kSpeedWeight = 0.1;   // the design page's start
   constexpr double kCostWeight = 0.02;   // costs spread widely; one heavy submission must not move the mean far
   Submission& submission = submissions[index];
@@ -628,7 +631,7 @@
     }
     case Outcome::kErrored:
     case Outcome::kBroken:
-    case Outcome::kUnreachable: executor.bad.add(now, kHealthLife, 1); break;
+    case Outcome::kUnreachable: executor.bad.add(now, kHealthLife, kErrorWeight); break;
     case Outcome::kTurnedAway: executor.bad.add(now, kHealthLife, 0.5); break;
     case Outcome::kTimedOut: blame(now, launch); break;
     case Outcome::kCancelled:
