--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -458,6 +458,9 @@
 
 // --- What happens ---
 
+// Long enough to average a node's few submissions a second, short enough to follow a customer's surge.
+constexpr Time kShareLife = 5 * kSecond;
+
 void Policy::submission_arrived(Time now, int index, int use_case, int customer, Time due, double hint, int width,
                                 double memory, bool) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
@@ -471,6 +474,13 @@
   submission.memory = memory;
   submission.hint = hint;
   submission.arrived = now;
+  if (customer >= 0) {
+    asked_[customer].add(now, kShareLife, 1);
+    const double rate = asked_[customer].value / seconds(kShareLife);
+    // A node sees only a part of a customer's traffic and not how large a part: only what this part alone has
+    // beyond the whole share is surely beyond it.
+    submission.within_share = rate <= settings_.allowances[customer];
+  }
   submission.due = due;
   host_.wake_at(due - 2 * settings_.quantum, (std::uint64_t{submission.serial} << kIndexBits) | index);
   place(now, index);
