--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -522,6 +522,7 @@
     } else if (launch.began >= 0 && settings_.progress_every > 0) {
       patience = settings_.progress_every * 3 / 2 + kSecond / 10;
     }
+    if (launch.began < 0 && last_start(submission, 0.9) > now) next = std::min(next, last_start(submission, 0.9));
     if (patience == kNever) {
       stuck = false;
     } else if (now - launch.heard < patience) {
@@ -558,7 +559,8 @@
     return;
   }
   Launch& launch = submission.launches.back();
-  if (!settings_.cancelling || !launch.pending || launch.cancelled || launch.began < 0) return;
+  if (!settings_.cancelling || !launch.pending || launch.cancelled) return;
+  if (launch.began < 0 && (overloaded(now) || now < last_start(submission, 0.9) || submission.launches.size() > 1)) return;
   launch.pending = false;
   const bool elsewhere = pick(now, submission) >= 0;
   launch.pending = true;
