--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -41,6 +41,7 @@
   settings.quantum = 20;
   settings.most_launches = 5;
   settings.second_copies = true;
+  settings.cancelling = true;
   settings.tells_start = true;
   settings.replicas = 2;
   settings.cold_from = 0.5;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -152,5 +152,122 @@
   EXPECT_EQ(node.policy.executors[0].bad.value, 0);
 }
 
+TEST(Delay, IsTheGapOfShortestFirstWordsAndZeroWhileUnheardOf) {
+  Node node(2);
+  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[1]), 0);
+  node.policy.probe_answered(kNow, 0, true, 10, nullptr);
+  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[1]), 0);
+  node.policy.probe_answered(kNow, 1, true, 110, nullptr);
+  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[1]), 100);
+  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[0]), 0);
+}
+
+TEST(Pick, TheReportedQueueLessOursCounts) {
+  Node node(2);
+  Load load;
+  load.waiting = 4;
+  node.policy.probe_answered(kNow, 0, true, 10, &load);
+  node.policy.probe_answered(kNow, 1, true, 10, nullptr);
+  node.arrive(0, 0);
+  EXPECT_EQ(node.host.launches.at(0).executor, 1);
+}
+
+// --- Health ---
+
+int picks_of(Node& node, int executor, int tries) {
+  node.policy.submissions.resize(1);
+  Submission& submission = node.policy.submissions[0];
+  submission.open = true;
+  submission.arrived = kNow;
+  submission.due = kNow + 5 * kSecond;
+  int picks = 0;
+  for (int i = 0; i < tries; ++i) picks += node.policy.pick(kNow, submission) == executor ? 1 : 0;
+  return picks;
+}
+
+// One that fails at once has an empty queue, yet must not win; a draw now and then still tries it.
+TEST(Health, AnExecutorThatErrsIsSeldomPickedButNotForgotten) {
+  Node node(3);
+  for (const int other : {1, 2}) node.policy.executors[other].open_cost = 5;
+  node.policy.executors[0].bad.add(kNow, kSecond, 3);
+  const int picks = picks_of(node, 0, 1000);
+  EXPECT_LT(picks, 100);
+  EXPECT_GT(picks, 0);
+}
+
+TEST(Health, IfAllLookBadWorkStillFlows) {
+  Node node(2);
+  for (Executor& executor : node.policy.executors) executor.bad.add(kNow, kSecond, 1000);
+  node.arrive(0, 0);
+  EXPECT_EQ(node.host.launches.size(), 1u);
+}
+
+// --- Further launches ---
+
+TEST(Further, ALaunchThatDoesNotBeginSeeksAFreeSlotElsewhere) {
+  Node node(2);
+  node.arrive(0, 0);
+  node.policy.timer_due(kNow + kSecond / 2, std::uint64_t{node.policy.submissions[0].serial} << 24);
+  ASSERT_EQ(node.host.launches.size(), 2u);
+  EXPECT_NE(node.host.launches[0].executor, node.host.launches[1].executor);
+  node.policy.launch_started(kNow + kSecond / 2 + 10, 0, 1);
+  EXPECT_EQ(node.host.cancelled, (std::vector<std::pair<int, int>>{{0, 0}}));
+}
+
+TEST(Further, SingleUseHasNoSecondCopy) {
+  Node node(2);
+  node.arrive(0, 2);
+  node.policy.timer_due(kNow + kSecond / 2, std::uint64_t{node.policy.submissions[0].serial} << 24);
+  EXPECT_EQ(node.host.launches.size(), 1u);
+}
+
+TEST(Further, AResultAfterTheAnswerChangesNothing) {
+  Node node(2);
+  node.arrive(0, 0);
+  node.policy.client_left(kNow + 1, 0);
+  node.policy.launch_ended(kNow + 2, 0, 0, Outcome::kErrored, 2, true, nullptr);
+  EXPECT_EQ(node.host.launches.size(), 1u);
+  EXPECT_TRUE(node.host.aborted.empty());
+  EXPECT_TRUE(node.host.pushed_back.empty());
+}
+
+// --- Overload ---
+
+// Two of every node's launches waiting at every executor made all answers late.
+TEST(Overload, OneUnstartedLaunchWaitsAtAnExecutorTheRestAtTheNode) {
+  Node node(2);
+  for (int i = 0; i < 5; ++i) node.arrive(i, 2);
+  EXPECT_EQ(node.host.launches.size(), 2u);
+  node.policy.launch_started(kNow + 10, 0, 0);
+  EXPECT_EQ(node.host.launches.size(), 3u);
+}
+
+TEST(Overload, WhatWouldBeLateIsAnsweredAtOnceNotAtItsHardLimit) {
+  Settings settings = small_settings();
+  settings.use_cases[0].agreed_time = kSecond / 10;
+  Node node(1, settings);
+  for (int i = 0; i < 2; ++i) node.arrive(i, 0);
+  node.policy.timer_due(kNow + 2 * kSecond, 0);
+  EXPECT_EQ(node.host.pushed_back, std::vector<int>{1});
+}
+
+TEST(Overload, ALongWaitLastSeenLeavesNoRoom) {
+  Node node(1);
+  node.policy.executors[0].wait.value = 4.9;
+  node.policy.executors[0].wait.at = kNow;
+  node.arrive(0, 0);
+  EXPECT_TRUE(node.host.launches.empty());
+}
+
+TEST(Fairness, WhatIsBeyondACustomersWholeShareIsMarked) {
+  Settings settings = small_settings();
+  settings.allowances = {2.0};
+  Node node(1, settings);
+  for (int i = 0; i < 30; ++i)
+    node.policy.submission_arrived(kNow + i, i, 0, 0, kNow + 5 * kSecond, 0, 1, 0, false);
+  EXPECT_TRUE(node.policy.submissions[0].within_share);
+  EXPECT_FALSE(node.policy.submissions[29].within_share);
+}
+
 }  // namespace
 }  // namespace canvasstage
