--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -111,6 +111,35 @@
   EXPECT_FALSE(node.policy.may_launch(kNow, node.policy.submissions[0], 1 - node.host.launches[0].executor));
 }
 
+TEST(Rule2, ReferencedStaysWithinItsCell) {
+  Settings settings = small_settings();
+  settings.use_cases[1].group = Group::kCell;
+  Node node(4, settings);
+  node.arrive(0, 1);
+  const int first = node.host.launches[0].executor;
+  node.policy.submissions[0].launches[0].pending = false;
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(node.policy.may_launch(kNow, node.policy.submissions[0], i), i == first);
+}
+
+TEST(Rule2, NoMoreLaunchesThanAllowed) {
+  Node node(1);
+  node.arrive(0, 0);
+  Submission& submission = node.policy.submissions[0];
+  submission.launches[0].pending = false;
+  submission.launches.resize(4, submission.launches[0]);
+  EXPECT_TRUE(node.policy.may_launch(kNow, submission, 0));
+  submission.launches.resize(5, submission.launches[0]);
+  EXPECT_FALSE(node.policy.may_launch(kNow, submission, 0));
+}
+
+TEST(Pick, AUseCaseBoundToAMachineKindGoesToNoOther) {
+  Settings settings = small_settings();
+  settings.use_cases[0].machine_kind = 1;
+  Node node(2, settings);
+  node.arrive(0, 0);
+  EXPECT_TRUE(node.host.launches.empty());
+}
+
 TEST(Rule3, NothingGoesToOneThatDrainsOrIsAbsent) {
   Node node(3);
   node.policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kDraining, 0);
@@ -122,11 +151,19 @@
 }
 
 TEST(Rule4, ABurstToAColdExecutorStopsAtTheBudget) {
-  Node node(1);
+  Node node(0);
   node.policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, kNow);
-  for (int i = 0; i < 20; ++i) node.arrive(i, 0);
-  const double sent = node.policy.cost(node.policy.submissions[0]) * static_cast<double>(node.host.launches.size());
-  EXPECT_LE(sent, 4.0 / 2 * 0.5 * 1.0);
+  node.policy.roster_arrived(kNow, RosterForm::kChanges);
+  int sent = 0;
+  for (; sent < 20 && (node.arrive(sent, 0), static_cast<int>(node.host.launches.size()) > sent); ++sent)
+    node.policy.launch_started(kNow, sent, 0);
+  const double budget = 4.0 / 2 * 0.5 * 1.0;  // our half of multiple x cold share x span, at speed 1
+  EXPECT_LE(sent * node.policy.cost(node.policy.submissions[0]), budget);
+  node.policy.executors[0].cold_sends.assign(1, {kNow, budget});
+  node.policy.submissions[0].launches.clear();
+  node.policy.submissions[0].open = true;
+  EXPECT_FALSE(node.policy.may_launch(kNow, node.policy.submissions[0], 0));
+  EXPECT_TRUE(node.policy.may_launch(kNow + 3 * kSecond, node.policy.submissions[0], 0));
 }
 
 // --- Following the list ---
