--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -183,8 +183,12 @@
 }
 
 // A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report. Both
-// fade over about a submission's run.
-constexpr Time kWaitLife = kSecond * 6 / 10;
+// fade over two mean runs, as a queue drains by runs: one length in seconds suits no two deployments.
+Time Policy::wait_life() const {
+  constexpr double kRuns = 2;
+  const double total = std::accumulate(work_.begin(), work_.end(), 0.0);
+  return std::max<Time>(1, from_seconds(kRuns * total / static_cast<double>(work_.size())));
+}
 
 void Policy::saw_wait(Time now, Launch& launch) {
   Executor& executor = executors[launch.executor];
@@ -196,11 +200,12 @@
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
+  const Time fade = wait_life();
   const Time latest = std::max(last_start(submission, kGiveWayChance), now);
   for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
     for (int i = 0; i < static_cast<int>(executors.size()); ++i)
       // If every executor looks bad the work still flows: the second pass asks nothing of health.
-      if (has_room(executors[i]) && now + from_seconds(executors[i].wait.read(now, kWaitLife)) <= latest &&
+      if (has_room(executors[i]) && now + from_seconds(executors[i].wait.read(now, fade)) <= latest &&
           may_launch(now, submission, i) &&
           (pass == 1 || (!tried(submission, i) && !doubted(now, executors[i]))))
         ready_.push_back(i);
@@ -233,8 +238,8 @@
     double queued = executor.open_cost / v;
     if (executor.load.waiting >= 0)
       queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
-                std::exp(-static_cast<double>(now - executor.load_at) / kWaitLife);
-    queued += executor.wait.read(now, kWaitLife);
+                std::exp(-static_cast<double>(now - executor.load_at) / static_cast<double>(fade));
+    queued += executor.wait.read(now, fade);
     const double finish = queued + work / v + seconds(delay(now, executor));
     if (best < 0 || finish < least) {
       best = ready_[drawn];
@@ -612,7 +617,7 @@
   // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning: one
   // error must outweigh the successes of its last seconds.
   constexpr double kErrorWeight = 3;
-  constexpr double kSpeedWeight = 0.1;   // the design page's start
+  constexpr double kSpeedWeight = 0.2;   // the design page's start
   constexpr double kCostWeight = 0.02;   // costs spread widely; one heavy submission must not move the mean far
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
--- a/src/policy.h
+++ b/src/policy.h
@@ -177,6 +177,7 @@
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
   Time start_patience(Time now);
+  Time wait_life() const;
   void saw_wait(Time now, Launch& launch);
   Time queue_patience(Time now, const Launch& launch) const;
   void seek_elsewhere(Time now, int submission);
