--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,6 @@
-// The decisions of one node. How it is called: the adapter builds one Policy for each node and calls one method
-// for each thing that happens; the Policy calls its Host at once. Both interfaces are defined in policy.h.
+// The decisions of one node. How it is called: the adapter builds one Policy for each node and calls one
+// method for each thing that happens; the Policy calls its Host at once. Both interfaces are defined in
+// policy.h.
 //
 // The ordinary path is TPD (docs/design.md): pick() draws candidates by apparent speed and takes the least
 // estimated finish. Beside it stand six mechanisms:
@@ -18,21 +19,27 @@
 namespace canvasstage {
 namespace {
 
-double seconds(Time time) { return static_cast<double>(time) / kSecond; }
-Time from_seconds(double value) { return static_cast<Time>(value * kSecond); }
+double seconds(Time time) {
+  return static_cast<double>(time) / kSecond;
+}
+Time from_seconds(double value) {
+  return static_cast<Time>(value * kSecond);
+}
 
 // How fast outcomes are forgotten: a few times the length of a passing trouble's first signs.
 constexpr Time kHealthLife = 8 * kSecond;
 
-double uniform(std::mt19937& random) { return (static_cast<double>(random()) + 0.5) / 4294967296.0; }
+double uniform(std::mt19937& random) {
+  return (static_cast<double>(random()) + 0.5) / 4294967296.0;
+}
 
 // The wake-up of the node's own housekeeping; other tokens name a submission.
 constexpr std::uint64_t kTickToken = 0;
 // Often enough to ask for the list again in time, seldom enough to cost nothing.
 constexpr Time kTick = kSecond / 4;
 constexpr int kIndexBits = 24;
-// A start that leaves less than this chance to be in time is not worth its place in a crowded fleet. Between 0.7
-// and 0.85 all deployments fare alike; 0.5 and 0.3 are worse.
+// A start that leaves less than this chance to be in time is not worth its place in a crowded fleet. Between
+// 0.7 and 0.85 all deployments fare alike; 0.5 and 0.3 are worse.
 constexpr double kGiveWayChance = 0.8;
 
 }  // namespace
@@ -62,7 +69,8 @@
 
 // --- Following the list ---
 
-void Policy::executor_listed(Time now, int index, int zone, int kind, int cell, Standing standing, Time started) {
+void Policy::executor_listed(Time now, int index, int zone, int kind, int cell, Standing standing,
+                             Time started) {
   if (index >= static_cast<int>(executors.size())) executors.resize(index + 1);
   if (zone >= static_cast<int>(zones_.size())) zones_.resize(zone + 1);
   if (kind >= static_cast<int>(widest_.size())) widest_.resize(kind + 1, 1.0);
@@ -94,8 +102,9 @@
   serve_held(now);
 }
 
-// A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do not
-// crowd a discovery of fixed capacity, but stay well inside the time after which we are deemed to have been told.
+// A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do
+// not crowd a discovery of fixed capacity, but stay well inside the time after which we are deemed to have
+// been told.
 void Policy::roster_refused(Time now) {
   subscribed_ = false;
   ask_pause_ = std::clamp(2 * ask_pause_, kSecond / 2, settings_.ask_within / 2);
@@ -149,7 +158,7 @@
   zone.now = std::min(zone.now, delay);
 }
 
-Time Policy::delay(Time, const Executor& executor) const {
+Time Policy::delay(const Executor& executor) const {
   if (executor.zone == settings_.zone || executor.zone < 0) return 0;
   if (settings_.zone < 0 || settings_.zone >= static_cast<int>(zones_.size())) return 0;
   const ZoneDelay& there = zones_[executor.zone];
@@ -182,8 +191,8 @@
                      [&](const Launch& launch) { return launch.executor == executor; });
 }
 
-// A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report. Both
-// fade over two mean runs, as a queue drains by runs: one length in seconds suits no two deployments.
+// A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report.
+// Both fade over two mean runs, as a queue drains by runs: one length in seconds suits no two deployments.
 Time Policy::wait_life() const {
   constexpr double kRuns = 2;
   const double total = std::accumulate(work_.begin(), work_.end(), 0.0);
@@ -192,7 +201,7 @@
 
 void Policy::saw_wait(Time now, Launch& launch) {
   Executor& executor = executors[launch.executor];
-  const double waited = seconds(now - launch.sent - delay(now, executor));
+  const double waited = seconds(now - launch.sent - delay(executor));
   executor.wait.value = std::max(0.0, waited);
   executor.wait.at = now;
 }
@@ -217,7 +226,7 @@
   chances_.clear();
   for (const int i : ready_) {
     const double p = work / speed_of(executors[i]);
-    chances_.push_back(work / (p + seconds(delay(now, executors[i]))));
+    chances_.push_back(work / (p + seconds(delay(executors[i]))));
     sum += chances_.back();
   }
   for (double& chance : chances_) chance /= sum;
@@ -240,7 +249,7 @@
       queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
                 std::exp(-static_cast<double>(now - executor.load_at) / static_cast<double>(fade));
     queued += executor.wait.read(now, fade);
-    const double finish = queued + work / v + seconds(delay(now, executor));
+    const double finish = queued + work / v + seconds(delay(executor));
     if (best < 0 || finish < least) {
       best = ready_[drawn];
       least = finish;
@@ -332,7 +341,7 @@
   return !settings_.tells_start || executor.unstarted < kMostUnstarted;
 }
 
-void Policy::launch(Time now, int index, int to) {
+void Policy::send(Time now, int index, int to) {
   Submission& submission = submissions[index];
   Executor& executor = executors[to];
   Launch launch;
@@ -348,7 +357,7 @@
   if (now - executor.started < settings_.warm_up + settings_.fall_span)
     executor.cold_sends.emplace_back(now, launch.cost * submission.width);
   host_.launch(index, to, submission.due);
-  host_.wake_at(now + queue_patience(now, launch), (std::uint64_t{submission.serial} << kIndexBits) | index);
+  wake(now + queue_patience(launch), index);
 }
 
 void Policy::close_launch(Time now, Submission& submission, Launch& launch) {
@@ -363,14 +372,29 @@
     executor.running_width -= submission.width;
 }
 
+void Policy::wake(Time when, int index) {
+  host_.wake_at(when,
+                (std::uint64_t{submissions[index].serial} << kIndexBits) | static_cast<std::uint64_t>(index));
+}
+
+void Policy::cancel_pending(int index, const Launch* except) {
+  if (!settings_.cancelling) return;
+  std::vector<Launch>& launches = submissions[index].launches;
+  for (std::size_t i = 0; i < launches.size(); ++i) {
+    if (!launches[i].pending || launches[i].cancelled || &launches[i] == except) continue;
+    launches[i].cancelled = true;
+    host_.cancel(index, static_cast<int>(i));
+  }
+}
+
 void Policy::place(Time now, int index) {
   Submission& submission = submissions[index];
   const int to = pick(now, submission);
-  if (to >= 0) return launch(now, index, to);
+  if (to >= 0) return send(now, index, to);
   if (submission.held) return;
   submission.held = true;
   held_.push_back(index);
-  host_.wake_at(now + kSecond / 50, (std::uint64_t{submission.serial} << kIndexBits) | index);
+  wake(now + kSecond / 50, index);
 }
 
 double Policy::value(const Submission& submission) const {
@@ -378,15 +402,16 @@
   return use_case.billing_value * (submission.within_share ? 1.0 : settings_.overage_value);
 }
 
-// The moment until which a start still leaves this chance of ending within the agreed time. The own work is not
-// known; it is taken to spread exponentially about its use case's mean. A long submission has the longer agreed
-// time, so it is the short ones that a wait makes late.
+// The moment until which a start still leaves this chance of ending within the agreed time. The own work is
+// not known; it is taken to spread exponentially about its use case's mean. A long submission has the longer
+// agreed time, so it is the short ones that a wait makes late.
 Time Policy::last_start(const Submission& submission, double chance) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const double own = cost(submission);
   const double leeway = std::max(0.1, use_case.stretch - 1 / mean_speed());
-  return std::min(submission.due - from_seconds(own / mean_speed()),
-                  submission.arrived + use_case.agreed_time + from_seconds(own * leeway * std::log(1 / chance)));
+  return std::min(
+      submission.due - from_seconds(own / mean_speed()),
+      submission.arrived + use_case.agreed_time + from_seconds(own * leeway * std::log(1 / chance)));
 }
 
 double Policy::chance_in_time(Time now, const Submission& submission) const {
@@ -413,15 +438,15 @@
   return use_case.overdue_value > 0 ? limit : std::min(limit, last_start(submission, 0.4));
 }
 
-// Held submissions go out as room appears, the most valuable for their work first; those that can no longer be
-// satisfied in time are answered at once.
+// Held submissions go out as room appears, the most valuable for their work first; those that can no longer
+// be satisfied in time are answered at once.
 void Policy::serve_held(Time now) {
   if (held_.empty()) return;
   const auto over = [&](int index) { return !submissions[index].open || !submissions[index].held; };
   for (const int index : held_) {
     Submission& submission = submissions[index];
     if (over(index)) continue;
-    if (now >= keep_until(now, submission)) end(now, index, true);
+    if (now >= keep_until(now, submission)) end(index, true);
   }
   std::erase_if(held_, over);
   if (std::none_of(executors.begin(), executors.end(),
@@ -435,30 +460,28 @@
     const double part = chance + (1 - chance) * use_case.overdue_value;
     order.emplace_back(-value(submission) * part / (cost(submission) * submission.width), index);
   }
-  std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [key, index] : order) {
     const int to = pick(now, submissions[index]);
     if (to < 0) continue;
     submissions[index].held = false;
-    launch(now, index, to);
+    send(now, index, to);
   }
   std::erase_if(held_, over);
 }
 
 // The one function that ends a submission.
-void Policy::end(Time now, int index, bool push_back) {
+void Policy::end(int index, bool push_back) {
   Submission& submission = submissions[index];
   if (!submission.open) return;
   submission.open = submission.held = false;
   push_back = push_back && may_push_back(submission);
-  if (settings_.cancelling)
-    for (std::size_t i = 0; i < submission.launches.size(); ++i)
-      if (submission.launches[i].pending) host_.cancel(index, static_cast<int>(i));
+  cancel_pending(index, nullptr);
   if (push_back)
     host_.push_back(index, 0);
   else
     host_.abort(index);
-  (void)now;
 }
 
 // --- What happens ---
@@ -466,8 +489,8 @@
 // Long enough to average a node's few submissions a second, short enough to follow a customer's surge.
 constexpr Time kShareLife = 5 * kSecond;
 
-void Policy::submission_arrived(Time now, int index, int use_case, int customer, Time due, double hint, int width,
-                                double memory, bool) {
+void Policy::submission_arrived(Time now, int index, int use_case, int customer, Time due, double hint,
+                                int width, double, bool) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
   Submission& submission = submissions[index];
   submission = Submission{};
@@ -476,7 +499,6 @@
   submission.use_case = use_case;
   submission.customer = customer;
   submission.width = width;
-  submission.memory = memory;
   submission.hint = hint;
   submission.arrived = now;
   if (customer >= 0) {
@@ -487,26 +509,26 @@
     submission.within_share = rate <= settings_.allowances[customer];
   }
   submission.due = due;
-  host_.wake_at(due - 2 * settings_.quantum, (std::uint64_t{submission.serial} << kIndexBits) | index);
+  wake(due - 2 * settings_.quantum, index);
   place(now, index);
 }
 
 // How long a launch may go without having begun before its executor is held to be silent: a multiple of what
 // launches have waited of late on the whole fleet, so that a trouble shared by all blames nobody.
 Time Policy::start_patience(Time now) {
-  constexpr double kMultiple = 5;             // a queue's wait spreads widely
-  constexpr Time kLeast = kSecond * 3 / 10;   // a handshake, a crossing and a pause
+  constexpr double kMultiple = 5;            // a queue's wait spreads widely
+  constexpr Time kLeast = kSecond * 3 / 10;  // a handshake, a crossing and a pause
   const double count = starts_.read(now, kHealthLife);
   const double mean = count > 0.5 ? start_wait_.read(now, kHealthLife) / count : 0.1;
   return std::max(kLeast, from_seconds(kMultiple * mean));
 }
 
-// How long a launch waits to begin before a free slot is sought elsewhere. An executor with a free slot tells of
-// the start one round trip after the send, so any longer means a queue, whose length nobody tells.
-Time Policy::queue_patience(Time now, const Launch& launch) const {
+// How long a launch waits to begin before a free slot is sought elsewhere. An executor with a free slot tells
+// of the start one round trip after the send, so any longer means a queue, whose length nobody tells.
+Time Policy::queue_patience(const Launch& launch) const {
   constexpr Time kSlack = kSecond / 40;  // a handshake, jitter and a few beats of the clock
   constexpr double kOfRun = 0.1;         // a wait that is little beside the run is not worth a connection
-  return kSlack + 2 * delay(now, executors[launch.executor]) + from_seconds(kOfRun * launch.cost / mean_speed());
+  return kSlack + 2 * delay(executors[launch.executor]) + from_seconds(kOfRun * launch.cost / mean_speed());
 }
 
 // Looks at a submission that may need a further launch, or has come near its hard limit without one.
@@ -521,13 +543,14 @@
     Time patience = kNever;
     if (launch.began < 0 && settings_.tells_start) {
       patience = start_patience(now);
-      const Time queued = queue_patience(now, launch);
+      const Time queued = queue_patience(launch);
       if (now - launch.sent < queued) stuck = false;
       if (now - launch.sent < queued) next = std::min(next, launch.sent + queued);
     } else if (launch.began >= 0 && settings_.progress_every > 0) {
       patience = settings_.progress_every * 3 / 2 + kSecond / 10;
     }
-    if (launch.began < 0 && last_start(submission, 0.9) > now) next = std::min(next, last_start(submission, 0.9));
+    if (launch.began < 0 && last_start(submission, 0.9) > now)
+      next = std::min(next, last_start(submission, 0.9));
     if (patience == kNever) {
       stuck = false;
     } else if (now - launch.heard < patience) {
@@ -541,31 +564,33 @@
                                  [](const Launch& launch) { return launch.pending && launch.began >= 0; });
   if (!begun && settings_.tells_start) {
     const Time until = keep_until(now, submission);
-    if (now >= until) return end(now, index, true);
+    if (now >= until) return end(index, true);
     next = std::min(next, until);
   } else if (!pending && now >= submission.due - 2 * settings_.quantum) {
-    return end(now, index, true);
+    return end(index, true);
   }
   if (pending && stuck) seek_elsewhere(now, index);
   if (submission.held) {
     serve_held(now);
     next = std::min(next, now + kSecond / 50);
   }
-  if (next < submission.due) host_.wake_at(next, (std::uint64_t{submission.serial} << kIndexBits) | index);
+  if (next < submission.due) wake(next, index);
 }
 
-// A submission none of whose launches moves: a second copy where that is allowed, else the launch is taken back
-// to be sent elsewhere, if anywhere else has room and the effect permits it.
+// A submission none of whose launches moves: a second copy where that is allowed, else the launch is taken
+// back to be sent elsewhere, if anywhere else has room and the effect permits it.
 void Policy::seek_elsewhere(Time now, int index) {
   Submission& submission = submissions[index];
   if (settings_.second_copies) {
     const int to = pick(now, submission);
-    if (to >= 0) Policy::launch(now, index, to);
+    if (to >= 0) send(now, index, to);
     return;
   }
   Launch& launch = submission.launches.back();
   if (!settings_.cancelling || !launch.pending || launch.cancelled) return;
-  if (launch.began < 0 && (overloaded(now) || now < last_start(submission, 0.9) || submission.launches.size() > 1)) return;
+  if (launch.began < 0 &&
+      (overloaded(now) || now < last_start(submission, 0.9) || submission.launches.size() > 1))
+    return;
   launch.pending = false;
   const bool elsewhere = pick(now, submission) >= 0;
   launch.pending = true;
@@ -588,21 +613,13 @@
   heard_from(now, executor, now - launch.sent);
   saw_wait(now, launch);
   if (settings_.progress_every > 0 && submission.open)
-    host_.wake_at(now + settings_.progress_every * 3 / 2 + kSecond / 10,
-                  (std::uint64_t{submission.serial} << kIndexBits) | index);
-  for (std::size_t i = 0; i < submission.launches.size(); ++i) {
-    Launch& other = submission.launches[i];
-    if (&other == &launch || !other.pending || other.cancelled || !settings_.cancelling) continue;
-    other.cancelled = true;  // one that waits is dropped unrun
-    host_.cancel(index, static_cast<int>(i));
-  }
+    wake(now + settings_.progress_every * 3 / 2 + kSecond / 10, index);
+  cancel_pending(index, &launch);  // those that wait are dropped unrun
   serve_held(now);
 }
 
-void Policy::launch_progressed(Time now, int index, int number, double share_done) {
-  Launch& launch = submissions[index].launches[number];
-  launch.heard = now;
-  launch.share_done = share_done;
+void Policy::launch_progressed(Time now, int index, int number, double) {
+  submissions[index].launches[number].heard = now;
 }
 
 void Policy::take_load(Time now, Executor& executor, const Load* load) {
@@ -614,17 +631,18 @@
 
 void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
                           const Load* load) {
-  // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning: one
-  // error must outweigh the successes of its last seconds.
+  // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning:
+  // one error must outweigh the successes of its last seconds.
   constexpr double kErrorWeight = 3;
-  constexpr double kSpeedWeight = 0.2;   // the design page's start
-  constexpr double kCostWeight = 0.02;   // costs spread widely; one heavy submission must not move the mean far
+  constexpr double kSpeedWeight = 0.2;  // the design page's start
+  constexpr double kCostWeight =
+      0.02;  // costs spread widely; one heavy submission must not move the mean far
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
   close_launch(now, submission, launch);
-  launch.may_have_run = outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable &&
-                        outcome != Outcome::kUnsent;
+  launch.may_have_run =
+      outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
   Executor& executor = executors[launch.executor];
   take_load(now, executor, load);
   switch (outcome) {
@@ -648,32 +666,38 @@
     }
     case Outcome::kErrored:
     case Outcome::kBroken:
-    case Outcome::kUnreachable: executor.bad.add(now, kHealthLife, kErrorWeight); break;
-    case Outcome::kTurnedAway: executor.bad.add(now, kHealthLife, 0.5); break;
-    case Outcome::kTimedOut: blame(now, launch); break;
+    case Outcome::kUnreachable:
+      executor.bad.add(now, kHealthLife, kErrorWeight);
+      break;
+    case Outcome::kTurnedAway:
+      executor.bad.add(now, kHealthLife, 0.5);
+      break;
+    case Outcome::kTimedOut:
+      blame(now, launch);
+      break;
     case Outcome::kCancelled:
-    case Outcome::kUnsent: break;
+    case Outcome::kUnsent:
+      break;
   }
   if (settled) submission.open = submission.held = false;
   if (submission.open) {
     const bool others = std::any_of(submission.launches.begin(), submission.launches.end(),
                                     [](const Launch& other) { return other.pending; });
     if (now >= submission.due - settings_.quantum) {
-      end(now, index, true);
+      end(index, true);
     } else if (!others) {
       const int to = pick(now, submission);
       if (to >= 0) {
-        Policy::launch(now, index, to);
+        send(now, index, to);
       } else if (may_push_back(submission) &&
                  static_cast<int>(submission.launches.size()) < settings_.most_launches) {
         place(now, index);
       } else {
-        end(now, index, true);
+        end(index, true);
       }
     }
-  } else if (settings_.cancelling) {
-    for (std::size_t i = 0; i < submission.launches.size(); ++i)
-      if (submission.launches[i].pending) host_.cancel(index, static_cast<int>(i));
+  } else {
+    cancel_pending(index, nullptr);
   }
   serve_held(now);
 }
@@ -681,14 +705,11 @@
 void Policy::client_left(Time, int index) {
   Submission& submission = submissions[index];
   submission.open = submission.held = false;
-  if (!settings_.cancelling) return;
-  for (std::size_t i = 0; i < submission.launches.size(); ++i)
-    if (submission.launches[i].pending) host_.cancel(index, static_cast<int>(i));
+  cancel_pending(index, nullptr);
 }
 
 void Policy::probe_answered(Time now, int index, bool well, Time latency, const Load* load) {
   Executor& executor = executors[index];
-  executor.probing = false;
   if (well) {
     heard_from(now, executor, latency);
     take_load(now, executor, load);
--- a/src/policy.h
+++ b/src/policy.h
@@ -22,7 +22,16 @@
 enum class Standing { kReady, kDraining, kGone };
 enum class RosterForm { kChanges, kWhole, kRemembered };
 // How a launch ended. Turned away, unreachable and unsent prove that it never ran.
-enum class Outcome { kSatisfied, kErrored, kTurnedAway, kTimedOut, kUnreachable, kBroken, kCancelled, kUnsent };
+enum class Outcome {
+  kSatisfied,
+  kErrored,
+  kTurnedAway,
+  kTimedOut,
+  kUnreachable,
+  kBroken,
+  kCancelled,
+  kUnsent
+};
 
 struct UseCase {
   Time agreed_time = kSecond;
@@ -48,8 +57,6 @@
   int most_launches = 1;
   bool second_copies = false;
   bool cancelling = false;
-  bool probing = false;
-  bool load_on_probe = false;
   Time longest_stay_away = 0;  // 0: clients are not told when to come back
   bool tells_start = false;
   Time progress_every = 0;
@@ -57,12 +64,11 @@
   Time warm_up = 0;
   double fall_multiple = 1;
   Time fall_span = kSecond;
-  double price_waste = 0;
 };
 
-// What an executor last said of its load; a negative value was not reported.
+// What an executor last said of its load; negative: not reported.
 struct Load {
-  double held = -1, waiting = -1, free_slots = -1, busy = -1;
+  double waiting = -1;
 };
 
 // A sum whose parts lose weight with time: by 1/e every `life`. Brought up to date when read.
@@ -78,17 +84,15 @@
   std::uint64_t listed = 0;  // the last list that named it
   Standing standing = Standing::kGone;
   int zone = 0, kind = 0, cell = 0;
-  Time started = 0;                 // 0: long ago
-  double work = 0, latency = 0;     // smoothed, of satisfied launches; their ratio is the speed
-  DecayingSum good, bad;            // outcomes, for the posterior of its chance of success
-  int open = 0, unstarted = 0;      // own launches unfinished, and of these not known to have begun
+  Time started = 0;              // 0: long ago
+  double work = 0, latency = 0;  // smoothed, of satisfied launches; their ratio is the speed
+  DecayingSum good, bad;         // outcomes, for the posterior of its chance of success
+  int open = 0, unstarted = 0;   // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0, most_width = 1;
-  DecayingSum wait;                 // seconds that the last launch waited to begin
+  DecayingSum wait;  // seconds that the last launch waited to begin
   Load load;
   Time load_at = 0;
   int unstarted_at_load = 0;
-  bool probing = false;
-  Time probed = 0;
   std::deque<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
 };
 
@@ -100,7 +104,7 @@
 struct Launch {
   int executor = 0;
   Time sent = 0, began = -1, heard = 0;
-  double cost = 0, share_done = 0;
+  double cost = 0;
   bool pending = true, may_have_run = true, blamed = false, cancelled = false;
 };
 
@@ -108,9 +112,9 @@
   bool open = false, held = false;
   std::uint32_t serial = 0;
   int use_case = 0, customer = -1, width = 1;
-  double memory = 0, hint = 0;
+  double hint = 0;
   bool within_share = true;
-  Time arrived = 0, due = 0, next_try = 0;
+  Time arrived = 0, due = 0;
   std::vector<Launch> launches;
 };
 
@@ -121,7 +125,7 @@
   virtual void push_back(int submission, Time stay_away) = 0;
   virtual void abort(int submission) = 0;
   virtual void cancel(int submission, int launch) = 0;
-  virtual void probe(int executor) = 0;
+  virtual void probe(int executor) = 0;  // not called as yet: it did not earn its price
   virtual void subscribe() = 0;
   virtual void wake_at(Time when, std::uint64_t token) = 0;
 };
@@ -135,8 +139,8 @@
   void roster_arrived(Time now, RosterForm form);
   void roster_refused(Time now);
 
-  void submission_arrived(Time now, int submission, int use_case, int customer, Time due, double hint, int width,
-                          double memory, bool repeat);
+  void submission_arrived(Time now, int submission, int use_case, int customer, Time due, double hint,
+                          int width, double memory, bool repeat);
   void launch_started(Time now, int submission, int launch);
   void launch_progressed(Time now, int submission, int launch, double share_done);
   void launch_ended(Time now, int submission, int launch, Outcome outcome, Time latency, bool settled,
@@ -148,7 +152,7 @@
 
   // The parts of a decision, open to tests and to whoever wants to look.
   double speed(const Executor& executor) const;
-  Time delay(Time now, const Executor& executor) const;
+  Time delay(const Executor& executor) const;
   static int choices(const std::vector<double>& chances);
   int pick(Time now, const Submission& submission);
   bool may_launch(Time now, const Submission& submission, int executor);
@@ -163,8 +167,10 @@
   void place(Time now, int submission);
   void further(Time now, int submission);
   void serve_held(Time now);
-  void launch(Time now, int submission, int executor);
-  void end(Time now, int submission, bool push_back);
+  void send(Time now, int submission, int executor);
+  void wake(Time when, int submission);
+  void cancel_pending(int submission, const Launch* except);
+  void end(int submission, bool push_back);
   void close_launch(Time now, Submission& submission, Launch& launch);
   void follow_list(Time now);
   void tick(Time now);
@@ -179,7 +185,7 @@
   Time start_patience(Time now);
   Time wait_life() const;
   void saw_wait(Time now, Launch& launch);
-  Time queue_patience(Time now, const Launch& launch) const;
+  Time queue_patience(const Launch& launch) const;
   void seek_elsewhere(Time now, int submission);
   bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
@@ -194,14 +200,14 @@
   std::vector<DecayingSum> asked_;          // by customer
   std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
   std::vector<ZoneDelay> zones_;
-  DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
-  std::uint64_t list_ = 0;                  // counts the lists, to tell who is absent from a whole one
+  DecayingSum start_wait_, starts_;  // seconds until launches began, and how many
+  std::uint64_t list_ = 0;           // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
   Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
-  std::vector<int> ready_;        // scratch of pick
-  std::vector<double> chances_;   // scratch of pick
+  std::vector<int> ready_;       // scratch of pick
+  std::vector<double> chances_;  // scratch of pick
 };
 
 }  // namespace canvasstage
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -23,13 +23,14 @@
 // Token 0 of the simulator's timers belongs to nobody; a timer's token goes through unchanged.
 constexpr std::uint32_t kPoolStart = 64 * 1024;
 
-[[noreturn]] void bad(const std::string& what) { throw BadInput(what); }
+[[noreturn]] void bad(const std::string& what) {
+  throw BadInput(what);
+}
 
-const Value& at(const Value& message, rapidjson::SizeType index, const char* field) {
+// A message's value; null where the message ends before it.
+const Value& at(const Value& message, rapidjson::SizeType index) {
   static const Value kNull;
-  if (index < message.Size()) return message[index];
-  (void)field;
-  return kNull;
+  return index < message.Size() ? message[index] : kNull;
 }
 
 double number(const Value& value, const char* field) {
@@ -94,14 +95,22 @@
 
 Outcome outcome_of(std::uint64_t status) {
   switch (status) {
-    case 200: return Outcome::kSatisfied;
-    case 429: return Outcome::kTurnedAway;
-    case 408: return Outcome::kTimedOut;
-    case 521: return Outcome::kUnreachable;
-    case 520: return Outcome::kBroken;
-    case 444: return Outcome::kCancelled;
-    case 409: return Outcome::kUnsent;
-    default: return Outcome::kErrored;  // an outcome not known may have run
+    case 200:
+      return Outcome::kSatisfied;
+    case 429:
+      return Outcome::kTurnedAway;
+    case 408:
+      return Outcome::kTimedOut;
+    case 521:
+      return Outcome::kUnreachable;
+    case 520:
+      return Outcome::kBroken;
+    case 444:
+      return Outcome::kCancelled;
+    case 409:
+      return Outcome::kUnsent;
+    default:
+      return Outcome::kErrored;  // an outcome not known may have run
   }
 }
 
@@ -230,7 +239,8 @@
     u.hard_limit = to_time(number(needed(from, "hardLimit"), "hardLimit"));
     u.stretch = setting(from, "aimStretch", 0);
     if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
-    if (kind.IsArray() && i < kind.Size()) u.machine_kind = static_cast<int>(number(kind[i], "domain.classKind"));
+    if (kind.IsArray() && i < kind.Size())
+      u.machine_kind = static_cast<int>(number(kind[i], "domain.classKind"));
     u.billing_value = setting(from, "billingValue", 1);
     u.overdue_value = setting(from, "overdueBillingValue", 0);
     const std::string_view effect = text(needed(from, "semantics"), "semantics");
@@ -264,10 +274,7 @@
   s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
   s.second_copies = flag(caps, "secondCopies");
   s.cancelling = flag(caps, "cancelling");
-  s.probing = flag(caps, "probes");
   if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
-  const Value& how = member(member(info, "report"), "how");
-  s.load_on_probe = how.IsString() && text(how, "report.how") == "on_probe";
   s.tells_start = flag(domain, "tellsStart");
   s.progress_every = to_time(setting(domain, "progress", 0));
   const Value& rules = needed(info, "guarantees");
@@ -276,30 +283,29 @@
   s.warm_up = to_time(setting(rules, "warmUp", 0));
   s.fall_multiple = setting(rules, "fallMultiple", 1);
   s.fall_span = to_time(setting(rules, "overloadFor", 1));
-  s.price_waste = setting(member(info, "prices"), "waste", 0);
   policy_ = std::make_unique<Policy>(std::move(s), *this, static_cast<std::uint32_t>(seed), now);
 }
 
 void Instance::topology(Time now, const Value& message) {
-  const std::string_view form = text(at(message, 2, "form"), "form");
+  const std::string_view form = text(at(message, 2), "form");
   if (form == "refused") return policy_->roster_refused(now);
-  const Value& rows = at(message, 4, "rows");
+  const Value& rows = at(message, 4);
   if (!rows.IsArray()) bad("rows: a list is needed");
   for (const Value& row : rows.GetArray()) {
     if (!row.IsArray()) bad("rows: an entry must be a list");
-    const std::uint64_t id = whole(at(row, 0, "executor"), "executor");
+    const std::uint64_t id = whole(at(row, 0), "executor");
     const auto [found, added] = executors_.try_emplace(id, static_cast<int>(executor_ids_.size()));
     if (added) executor_ids_.push_back(id);
-    const std::string_view lifecycle = text(at(row, 4, "lifecycle"), "lifecycle");
+    const std::string_view lifecycle = text(at(row, 4), "lifecycle");
     const Standing standing = lifecycle == "U"   ? Standing::kReady
                               : lifecycle == "L" ? Standing::kDraining
                                                  : Standing::kGone;
-    const Value& zone = at(row, 1, "zone");
-    const Value& kind = at(row, 2, "kind");
+    const Value& zone = at(row, 1);
+    const Value& kind = at(row, 2);
     policy_->executor_listed(now, found->second, zone.IsString() ? index_of(zones_, text(zone, "zone")) : -1,
                              kind.IsString() ? index_of(kinds_, text(kind, "kind")) : -1,
-                             static_cast<int>(number_or(at(row, 3, "unitGroup"), -1, "unitGroup")), standing,
-                             to_time(number_or(at(row, 6, "launched"), 0, "launched")));
+                             static_cast<int>(number_or(at(row, 3), -1, "unitGroup")), standing,
+                             to_time(number_or(at(row, 6), 0, "launched")));
   }
   policy_->roster_arrived(now, form == "all"          ? RosterForm::kWhole
                                : form == "remembered" ? RosterForm::kRemembered
@@ -307,14 +313,14 @@
 }
 
 void Instance::arrive(Time now, const Value& message) {
-  const std::uint64_t id = whole(at(message, 2, "msgId"), "msgId");
-  const int use_case = index_of(use_cases_, text(at(message, 3, "kind"), "kind"));
+  const std::uint64_t id = whole(at(message, 2), "msgId");
+  const int use_case = index_of(use_cases_, text(at(message, 3), "kind"));
   if (use_case < 0) bad("kind: not a use case of the settings");
-  const Value& project = at(message, 4, "project");
+  const Value& project = at(message, 4);
   const int customer = project.IsString() ? index_of(customers_, text(project, "project")) : -1;
-  const Time due = to_time(number(at(message, 6, "due"), "due"));
-  const std::uint64_t attrs = static_cast<std::uint64_t>(number_or(at(message, 10, "attrs"), 0, "attrs"));
-  const Value& hint = at(message, 7, "workHint");
+  const Time due = to_time(number(at(message, 6), "due"));
+  const std::uint64_t attrs = static_cast<std::uint64_t>(number_or(at(message, 10), 0, "attrs"));
+  const Value& hint = at(message, 7);
   int index = static_cast<int>(entries_.size());
   if (free_.empty()) {
     entries_.emplace_back();
@@ -326,75 +332,69 @@
   submissions_[id] = index;
   policy_->submission_arrived(now, index, use_case, customer, due,
                               (attrs & 1) != 0 ? number_or(hint, 0, "workHint") : 0,
-                              static_cast<int>(number_or(at(message, 8, "width"), 1, "width")),
-                              number_or(at(message, 9, "mem"), 0, "mem"), (attrs & 2) != 0);
+                              static_cast<int>(number_or(at(message, 8), 1, "width")),
+                              number_or(at(message, 9), 0, "mem"), (attrs & 2) != 0);
   release_if_over(index);
 }
 
 const Load* Instance::load(const Value& report, Load& into) const {
   if (!report.IsArray()) return nullptr;
   for (rapidjson::SizeType i = 0; i < report.Size() && i < fields_.size(); ++i) {
-    if (!report[i].IsNumber()) continue;
-    const double value = report[i].GetDouble();
-    if (fields_[i] == "outstanding") into.held = value;
-    if (fields_[i] == "backlog") into.waiting = value;
-    if (fields_[i] == "x0") into.free_slots = value;
-    if (fields_[i] == "utilization") into.busy = value;
+    if (report[i].IsNumber() && fields_[i] == "backlog") into.waiting = report[i].GetDouble();
   }
   return &into;
 }
 
 void Instance::result(Time now, const Value& message) {
-  const int index = submission(at(message, 2, "msgId"));
-  const Value& settled = at(message, 6, "settled");
-  const std::uint64_t status = whole(at(message, 7, "status"), "status");
-  const Time latency = to_time(number_or(at(message, 8, "latency"), 0, "latency"));
+  const int index = submission(at(message, 2));
+  const Value& settled = at(message, 6);
+  const std::uint64_t status = whole(at(message, 7), "status");
+  const Time latency = to_time(number_or(at(message, 8), 0, "latency"));
   if (index < 0) return;
-  const int leg = launch_of(index, at(message, 4, "leg"));
+  const int leg = launch_of(index, at(message, 4));
   if (leg < 0) return;
   Entry& entry = entries_[index];
   --entry.pending;
   const bool over = settled.IsBool() && settled.GetBool();
   if (over) entry.ended = true;
   Load report;
-  policy_->launch_ended(now, index, leg, outcome_of(status), latency, over,
-                        load(at(message, 9, "pressure"), report));
+  policy_->launch_ended(now, index, leg, outcome_of(status), latency, over, load(at(message, 9), report));
   release_if_over(index);
 }
 
 void Instance::event(Time now, std::string_view name, const Value& message) {
   if (name == "Knock") return arrive(now, message);
   if (name == "Result") return result(now, message);
-  if (name == "TickDue") return policy_->timer_due(now, whole(at(message, 2, "keyBack"), "keyBack"));
+  if (name == "TickDue") return policy_->timer_due(now, whole(at(message, 2), "keyBack"));
   if (name == "Topology") return topology(now, message);
   if (name == "StatusNote") {
-    const int index = submission(at(message, 2, "msgId"));
-    const std::uint64_t sort = whole(at(message, 5, "sort"), "sort");
-    const int leg = index < 0 ? -1 : launch_of(index, at(message, 3, "leg"));
+    const int index = submission(at(message, 2));
+    const std::uint64_t sort = whole(at(message, 5), "sort");
+    const int leg = index < 0 ? -1 : launch_of(index, at(message, 3));
     if (leg < 0) return;
     if (sort == 1) policy_->launch_started(now, index, leg);
-    if (sort == 2) policy_->launch_progressed(now, index, leg, number_or(at(message, 6, "value"), 0, "value"));
+    if (sort == 2) policy_->launch_progressed(now, index, leg, number_or(at(message, 6), 0, "value"));
     return;
   }
   if (name == "ClientGone") {
-    const int index = submission(at(message, 2, "msgId"));
+    const int index = submission(at(message, 2));
     if (index < 0) return;
     entries_[index].ended = true;
     policy_->client_left(now, index);
     return release_if_over(index);
   }
   if (name == "Checked") {
-    const int index = executor(at(message, 2, "executor"));
-    const std::uint64_t status = whole(at(message, 3, "status"), "status");
+    const int index = executor(at(message, 2));
+    const std::uint64_t status = whole(at(message, 3), "status");
     Load report;
-    const Load* given = load(at(message, 5, "pressure"), report);
+    const Load* given = load(at(message, 5), report);
     if (index < 0) return;
     return policy_->probe_answered(now, index, status == 200,
-                                   to_time(number_or(at(message, 4, "latency"), 0, "latency")), given);
+                                   to_time(number_or(at(message, 4), 0, "latency")), given);
   }
   if (name == "Message")
-    return policy_->peer_message(now, static_cast<int>(number_or(at(message, 2, "sender"), -1, "sender")),
-                                 text(at(message, 3, "bytes"), "bytes"));
+    return policy_->peer_message(now, static_cast<int>(number_or(at(message, 2), -1, "sender")),
+                                 text(at(message, 3), "bytes"));
 }
 
 }  // namespace
@@ -425,22 +425,24 @@
   reply.writer.Key("actions");
   reply.writer.StartArray();
   for (const Value& message : news.GetArray()) {
-    if (!message.IsArray() || message.Empty()) bad("news: a message must be a list that begins with its name");
+    if (!message.IsArray() || message.Empty())
+      bad("news: a message must be a list that begins with its name");
     const std::string_view name = text(message[0], "news: a message's name");
-    static constexpr std::string_view kKnown[] = {"Hello",      "Topology",   "Knock",   "TickDue", "CrashNow",
-                                                  "StatusNote", "ClientGone", "Checked", "Result",  "Message"};
+    static constexpr std::string_view kKnown[] = {"Hello",    "Topology",   "Knock",      "TickDue",
+                                                  "CrashNow", "StatusNote", "ClientGone", "Checked",
+                                                  "Result",   "Message"};
     bool known = false;
     for (const std::string_view k : kKnown) known = known || k == name;
     if (!known) continue;  // an event of a later wire
     try {
-      const std::uint64_t id = whole(at(message, 1, "node"), "node");
+      const std::uint64_t id = whole(at(message, 1), "node");
       if (name == "CrashNow") {
         body_->instances.erase(id);
         continue;
       }
       if (name == "Hello") {
         auto instance = std::make_unique<Instance>(id, reply);
-        instance->hello(now, whole(at(message, 2, "initSeed"), "initSeed"), at(message, 3, "bootInfo"));
+        instance->hello(now, whole(at(message, 2), "initSeed"), at(message, 3));
         body_->instances[id] = std::move(instance);
         continue;
       }
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -1,13 +1,15 @@
+#include "simhost/adapter.h"
+
 #include <gtest/gtest.h>
 
 #include <string>
 
-#include "simhost/adapter.h"
-
 namespace canvasstage::simhost {
 namespace {
 
-std::string answer(Adapter& adapter, std::string line) { return std::string(adapter.answer(line)); }
+std::string answer(Adapter& adapter, std::string line) {
+  return std::string(adapter.answer(line));
+}
 
 std::string bad(std::string line) {
   Adapter adapter;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -52,7 +52,8 @@
 }
 
 struct Node {
-  explicit Node(int executors, Settings settings = small_settings()) : policy(std::move(settings), host, 1, kNow) {
+  explicit Node(int executors, Settings settings = small_settings())
+      : policy(std::move(settings), host, 1, kNow) {
     for (int i = 0; i < executors; ++i) policy.executor_listed(kNow, i, i % 2, 0, i, Standing::kReady, 0);
     policy.roster_arrived(kNow, RosterForm::kWhole);
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -7,7 +7,9 @@
 
 // --- TPD ---
 
-TEST(Choices, EqualChancesGiveTwo) { EXPECT_EQ(Policy::choices(std::vector<double>(10, 0.1)), 2); }
+TEST(Choices, EqualChancesGiveTwo) {
+  EXPECT_EQ(Policy::choices(std::vector<double>(10, 0.1)), 2);
+}
 
 TEST(Choices, FewExecutorsAreAllDrawn) {
   EXPECT_EQ(Policy::choices({}), 0);
@@ -118,7 +120,8 @@
   node.arrive(0, 1);
   const int first = node.host.launches[0].executor;
   node.policy.submissions[0].launches[0].pending = false;
-  for (int i = 0; i < 4; ++i) EXPECT_EQ(node.policy.may_launch(kNow, node.policy.submissions[0], i), i == first);
+  for (int i = 0; i < 4; ++i)
+    EXPECT_EQ(node.policy.may_launch(kNow, node.policy.submissions[0], i), i == first);
 }
 
 TEST(Rule2, NoMoreLaunchesThanAllowed) {
@@ -147,7 +150,8 @@
   node.policy.roster_arrived(kNow, RosterForm::kWhole);
   node.arrive(0, 0);
   EXPECT_EQ(node.host.launches.at(0).executor, 1);
-  for (const int absent : {0, 2}) EXPECT_FALSE(node.policy.may_launch(kNow, node.policy.submissions[0], absent));
+  for (const int absent : {0, 2})
+    EXPECT_FALSE(node.policy.may_launch(kNow, node.policy.submissions[0], absent));
 }
 
 TEST(Rule4, ABurstToAColdExecutorStopsAtTheBudget) {
@@ -191,12 +195,12 @@
 
 TEST(Delay, IsTheGapOfShortestFirstWordsAndZeroWhileUnheardOf) {
   Node node(2);
-  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[1]), 0);
+  EXPECT_EQ(node.policy.delay(node.policy.executors[1]), 0);
   node.policy.probe_answered(kNow, 0, true, 10, nullptr);
-  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[1]), 0);
+  EXPECT_EQ(node.policy.delay(node.policy.executors[1]), 0);
   node.policy.probe_answered(kNow, 1, true, 110, nullptr);
-  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[1]), 100);
-  EXPECT_EQ(node.policy.delay(kNow, node.policy.executors[0]), 0);
+  EXPECT_EQ(node.policy.delay(node.policy.executors[1]), 100);
+  EXPECT_EQ(node.policy.delay(node.policy.executors[0]), 0);
 }
 
 TEST(Pick, TheReportedQueueLessOursCounts) {
