--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -446,7 +446,7 @@
   for (const int index : held_) {
     Submission& submission = submissions[index];
     if (over(index)) continue;
-    if (now >= keep_until(now, submission)) end(index, true);
+    if (now >= keep_until(now, submission)) end(now, index, true);
   }
   std::erase_if(held_, over);
   if (std::none_of(executors.begin(), executors.end(),
@@ -472,14 +472,14 @@
 }
 
 // The one function that ends a submission.
-void Policy::end(int index, bool push_back) {
+void Policy::end(Time now, int index, bool push_back) {
   Submission& submission = submissions[index];
   if (!submission.open) return;
   submission.open = submission.held = false;
   push_back = push_back && may_push_back(submission);
   cancel_pending(index, nullptr);
   if (push_back)
-    host_.push_back(index, 0);
+    host_.push_back(index, now - overload_seen_ < kSecond ? settings_.longest_stay_away : 0);
   else
     host_.abort(index);
 }
@@ -564,10 +564,10 @@
                                  [](const Launch& launch) { return launch.pending && launch.began >= 0; });
   if (!begun && settings_.tells_start) {
     const Time until = keep_until(now, submission);
-    if (now >= until) return end(index, true);
+    if (now >= until) return end(now, index, true);
     next = std::min(next, until);
   } else if (!pending && now >= submission.due - 2 * settings_.quantum) {
-    return end(index, true);
+    return end(now, index, true);
   }
   if (pending && stuck) seek_elsewhere(now, index);
   if (submission.held) {
@@ -684,7 +684,7 @@
     const bool others = std::any_of(submission.launches.begin(), submission.launches.end(),
                                     [](const Launch& other) { return other.pending; });
     if (now >= submission.due - settings_.quantum) {
-      end(index, true);
+      end(now, index, true);
     } else if (!others) {
       const int to = pick(now, submission);
       if (to >= 0) {
@@ -693,7 +693,7 @@
                  static_cast<int>(submission.launches.size()) < settings_.most_launches) {
         place(now, index);
       } else {
-        end(index, true);
+        end(now, index, true);
       }
     }
   } else {
--- a/src/policy.h
+++ b/src/policy.h
@@ -170,7 +170,7 @@
   void send(Time now, int submission, int executor);
   void wake(Time when, int submission);
   void cancel_pending(int submission, const Launch* except);
-  void end(int submission, bool push_back);
+  void end(Time now, int submission, bool push_back);
   void close_launch(Time now, Submission& submission, Launch& launch);
   void follow_list(Time now);
   void tick(Time now);
