Give way by chance times value per work, against what is usual here

Cause: one threshold for all gave up download-log, worth eight times as much for its work as a preview, as early as a preview.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -429,13 +429,20 @@
   return now - overload_seen_ < kSecond;
 }
 
-// Until when a submission that has not begun is kept. In an overload it gives way once it is more likely late
-// than not; else only when there is hardly a chance, or none of late value.
+double Policy::value_per_work(const Submission& submission) const {
+  return value(submission) / (cost(submission) * submission.width);
+}
+
+// Until when a submission that has not begun is kept: while its chance to be in time, times its value per work, is
+// worth the room to the usual submission here. In an overload the room is worth more.
 Time Policy::keep_until(Time now, const Submission& submission) {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
-  if (overloaded(now)) return std::min(limit, last_start(submission, kGiveWayChance));
-  return use_case.overdue_value > 0 ? limit : std::min(limit, last_start(submission, 0.4));
+  const bool crowded = overloaded(now);
+  if (!crowded && use_case.overdue_value > 0) return limit;
+  const double usual = asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
+  const double chance = (crowded ? kGiveWayChance : 0.4) * usual / value_per_work(submission);
+  return std::min(limit, last_start(submission, std::clamp(chance, 0.05, 0.95)));
 }
 
 // Held submissions go out as room appears, the most valuable for their work first; those that can no longer
@@ -458,7 +465,7 @@
     const UseCase& use_case = settings_.use_cases[submission.use_case];
     const double chance = chance_in_time(now, submission);
     const double part = chance + (1 - chance) * use_case.overdue_value;
-    order.emplace_back(-value(submission) * part / (cost(submission) * submission.width), index);
+    order.emplace_back(-value_per_work(submission) * part, index);
   }
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -509,6 +516,8 @@
     submission.within_share = rate <= settings_.allowances[customer];
   }
   submission.due = due;
+  asked_value_.add(now, kHealthLife, value(submission));
+  asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   wake(due - 2 * settings_.quantum, index);
   place(now, index);
 }
--- a/src/policy.h
+++ b/src/policy.h
@@ -175,6 +175,7 @@
   void follow_list(Time now);
   void tick(Time now);
   double value(const Submission& submission) const;
+  double value_per_work(const Submission& submission) const;
   Time last_start(const Submission& submission, double chance) const;
   double chance_in_time(Time now, const Submission& submission) const;
   bool overloaded(Time now);
@@ -200,6 +201,7 @@
   std::vector<DecayingSum> asked_;          // by customer
   std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
   std::vector<ZoneDelay> zones_;
+  DecayingSum asked_value_, asked_work_;    // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;  // seconds until launches began, and how many
   std::uint64_t list_ = 0;           // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
