--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -441,7 +441,7 @@
   const bool crowded = overloaded(now);
   if (!crowded && use_case.overdue_value > 0) return limit;
   const double usual = asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
-  const double chance = (crowded ? kGiveWayChance : 0.4) * usual / value_per_work(submission);
+  const double chance = (crowded ? kGiveWayChance : 0.6) * usual / value_per_work(submission);
   return std::min(limit, last_start(submission, std::clamp(chance, 0.05, 0.95)));
 }
 
