--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -433,14 +433,15 @@
   return value(submission) / (cost(submission) * submission.width);
 }
 
-// Until when a submission that has not begun is kept: while its chance to be in time, times its value per work, is
-// worth the room to the usual submission here. In an overload the room is worth more.
+// Until when a submission that has not begun is kept: while its chance to be in time, times its value per
+// work, is worth the room to the usual submission here. In an overload the room is worth more.
 Time Policy::keep_until(Time now, const Submission& submission) {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
   const bool crowded = overloaded(now);
   if (!crowded && use_case.overdue_value > 0) return limit;
-  const double usual = asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
+  const double usual =
+      asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
   const double chance = (crowded ? kGiveWayChance : 0.6) * usual / value_per_work(submission);
   return std::min(limit, last_start(submission, std::clamp(chance, 0.05, 0.95)));
 }
@@ -591,6 +592,10 @@
 void Policy::seek_elsewhere(Time now, int index) {
   Submission& submission = submissions[index];
   if (settings_.second_copies) {
+    constexpr int kMostPending = 2;  // more take from others the room that they seek; 3 and 5 are no better
+    if (std::count_if(submission.launches.begin(), submission.launches.end(),
+                      [](const Launch& launch) { return launch.pending; }) >= kMostPending)
+      return;
     const int to = pick(now, submission);
     if (to >= 0) send(now, index, to);
     return;
--- a/src/policy.h
+++ b/src/policy.h
@@ -159,6 +159,7 @@
   bool may_push_back(const Submission& submission) const;
   double cold_budget(Time now, const Executor& executor) const;
   double cost(const Submission& submission) const;
+  Time keep_until(Time now, const Submission& submission);
 
   std::vector<Executor> executors;
   std::vector<Submission> submissions;  // by the index that the adapter gives; reused
@@ -179,7 +180,6 @@
   Time last_start(const Submission& submission, double chance) const;
   double chance_in_time(Time now, const Submission& submission) const;
   bool overloaded(Time now);
-  Time keep_until(Time now, const Submission& submission);
   bool has_room(const Executor& executor) const;
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
@@ -201,9 +201,9 @@
   std::vector<DecayingSum> asked_;          // by customer
   std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
   std::vector<ZoneDelay> zones_;
-  DecayingSum asked_value_, asked_work_;    // of late, to tell what room is worth
-  DecayingSum start_wait_, starts_;  // seconds until launches began, and how many
-  std::uint64_t list_ = 0;           // counts the lists, to tell who is absent from a whole one
+  DecayingSum asked_value_, asked_work_;  // of late, to tell what room is worth
+  DecayingSum start_wait_, starts_;       // seconds until launches began, and how many
+  std::uint64_t list_ = 0;                // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
   Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -255,6 +255,15 @@
   EXPECT_EQ(node.host.cancelled, (std::vector<std::pair<int, int>>{{0, 0}}));
 }
 
+// Copies took the room that single-use submissions need.
+TEST(Further, NoThirdCopyWhileTwoArePending) {
+  Node node(4);
+  node.arrive(0, 0);
+  for (int i = 1; i < 5; ++i)
+    node.policy.timer_due(kNow + i * kSecond / 2, std::uint64_t{node.policy.submissions[0].serial} << 24);
+  EXPECT_EQ(node.host.launches.size(), 2u);
+}
+
 TEST(Further, SingleUseHasNoSecondCopy) {
   Node node(2);
   node.arrive(0, 2);
@@ -292,6 +301,16 @@
   EXPECT_EQ(node.host.pushed_back, std::vector<int>{1});
 }
 
+// One threshold for all gave up the most valuable as early as the least.
+TEST(Overload, WhatIsWorthMoreForItsWorkIsKeptLonger) {
+  Settings settings = small_settings();
+  settings.use_cases[2].billing_value = 8;
+  Node node(1, settings);
+  for (int i = 0; i < 3; ++i) node.arrive(i, i);
+  EXPECT_LT(node.policy.keep_until(kNow, node.policy.submissions[1]),
+            node.policy.keep_until(kNow, node.policy.submissions[2]));
+}
+
 TEST(Overload, ALongWaitLastSeenLeavesNoRoom) {
   Node node(1);
   node.policy.executors[0].wait.value = 4.9;
