--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -700,15 +700,14 @@
     if (now >= submission.due - settings_.quantum) {
       end(now, index, true);
     } else if (!others) {
-      const int to = pick(now, submission);
-      if (to >= 0) {
-        send(now, index, to);
-      } else if (may_push_back(submission) &&
-                 static_cast<int>(submission.launches.size()) < settings_.most_launches) {
-        place(now, index);
-      } else {
+      // What may go again waits for room, also where it may no longer be pushed back; an abort would be hasty.
+      const bool spent = static_cast<int>(submission.launches.size()) >= settings_.most_launches ||
+                         (settings_.use_cases[submission.use_case].effect == Effect::kSingleUse &&
+                          !may_push_back(submission));
+      if (spent)
         end(now, index, true);
-      }
+      else
+        place(now, index);
     }
   } else {
     cancel_pending(index, nullptr);
