--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -5,8 +5,8 @@
 // The ordinary path is TPD (docs/design.md): pick() draws candidates by apparent speed and takes the least
 // estimated finish. Beside it stand six mechanisms:
 //   1. health posterior           doubted(), blame()
-//   2. time-outs, further launches  further(), start_patience()
-//   3. overload pushback          has_room(), serve_held()
+//   2. time-outs, further launches  further(), seek_elsewhere()
+//   3. overload pushback          has_room(), keep_until(), serve_held()
 //   4. customer fairness          value()
 //   5. cold budget                cold_budget()
 //   6. following the list         follow_list()
@@ -450,13 +450,8 @@
 // be satisfied in time are answered at once.
 void Policy::serve_held(Time now) {
   if (held_.empty()) return;
-  const auto over = [&](int index) { return !submissions[index].open || !submissions[index].held; };
-  for (const int index : held_) {
-    Submission& submission = submissions[index];
-    if (over(index)) continue;
-    if (now >= keep_until(now, submission)) end(now, index, true);
-  }
-  std::erase_if(held_, over);
+  for (const int index : std::vector<int>(held_))
+    if (now >= keep_until(now, submissions[index])) end(now, index, true);
   if (std::none_of(executors.begin(), executors.end(),
                    [&](const Executor& e) { return e.standing == Standing::kReady && has_room(e); }))
     return;
@@ -473,17 +468,23 @@
   for (const auto& [key, index] : order) {
     const int to = pick(now, submissions[index]);
     if (to < 0) continue;
-    submissions[index].held = false;
+    let_go(index);
     send(now, index, to);
   }
-  std::erase_if(held_, over);
+}
+
+// No longer held. At once, as the index of one that is over is used again for the next.
+void Policy::let_go(int index) {
+  if (submissions[index].held) std::erase(held_, index);
+  submissions[index].held = false;
 }
 
 // The one function that ends a submission.
 void Policy::end(Time now, int index, bool push_back) {
   Submission& submission = submissions[index];
   if (!submission.open) return;
-  submission.open = submission.held = false;
+  submission.open = false;
+  let_go(index);
   push_back = push_back && may_push_back(submission);
   cancel_pending(index, nullptr);
   if (push_back)
@@ -693,14 +694,18 @@
     case Outcome::kUnsent:
       break;
   }
-  if (settled) submission.open = submission.held = false;
+  if (settled) {
+    submission.open = false;
+    let_go(index);
+  }
   if (submission.open) {
     const bool others = std::any_of(submission.launches.begin(), submission.launches.end(),
                                     [](const Launch& other) { return other.pending; });
     if (now >= submission.due - settings_.quantum) {
       end(now, index, true);
     } else if (!others) {
-      // What may go again waits for room, also where it may no longer be pushed back; an abort would be hasty.
+      // What may go again waits for room, also where it may no longer be pushed back; an abort would be
+      // hasty.
       const bool spent = static_cast<int>(submission.launches.size()) >= settings_.most_launches ||
                          (settings_.use_cases[submission.use_case].effect == Effect::kSingleUse &&
                           !may_push_back(submission));
@@ -716,8 +721,8 @@
 }
 
 void Policy::client_left(Time, int index) {
-  Submission& submission = submissions[index];
-  submission.open = submission.held = false;
+  submissions[index].open = false;
+  let_go(index);
   cancel_pending(index, nullptr);
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -172,6 +172,7 @@
   void wake(Time when, int submission);
   void cancel_pending(int submission, const Launch* except);
   void end(Time now, int submission, bool push_back);
+  void let_go(int submission);
   void close_launch(Time now, Submission& submission, Launch& launch);
   void follow_list(Time now);
   void tick(Time now);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -301,6 +301,17 @@
   EXPECT_EQ(node.host.pushed_back, std::vector<int>{1});
 }
 
+// The index of one that left while held is used again; the next one must not be held, and so launched, twice.
+TEST(Overload, AnIndexUsedAgainIsHeldOnce) {
+  Node node(0);
+  node.arrive(0, 0);
+  node.policy.client_left(kNow + 1, 0);
+  node.arrive(0, 0);
+  for (int i = 0; i < 2; ++i) node.policy.executor_listed(kNow + 2, i, 0, 0, 0, Standing::kReady, 0);
+  node.policy.roster_arrived(kNow + 2, RosterForm::kChanges);
+  EXPECT_EQ(node.host.launches.size(), 1u);
+}
+
 // One threshold for all gave up the most valuable as early as the least.
 TEST(Overload, WhatIsWorthMoreForItsWorkIsKeptLonger) {
   Settings settings = small_settings();
