--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,6 +81,7 @@
     executor.load = Load{};
     executor.cold_sends.clear();
   }
+  count_speed(executor, -1);
   executor.known = true;
   executor.listed = list_ + 1;
   executor.zone = zone;
@@ -88,13 +89,17 @@
   executor.cell = cell;
   executor.standing = standing;
   executor.started = std::min(std::max(executor.started, started), now);
+  count_speed(executor, 1);
 }
 
 void Policy::roster_arrived(Time now, RosterForm form) {
   ++list_;
   if (form == RosterForm::kWhole)
     for (Executor& executor : executors)
-      if (executor.listed != list_) executor.standing = Standing::kGone;
+      if (executor.listed != list_) {
+        count_speed(executor, -1);
+        executor.standing = Standing::kGone;
+      }
   if (form != RosterForm::kRemembered) {
     subscribed_ = true;
     ask_pause_ = 0;
@@ -125,15 +130,15 @@
 
 // --- TPD ---
 
+// Kept up to date at each change: a sum over a large fleet for every submission costs too much.
+void Policy::count_speed(const Executor& executor, int sign) {
+  if (executor.latency <= 0 || executor.standing != Standing::kReady) return;
+  speed_sum_ += sign * executor.work / executor.latency;
+  speed_count_ += sign;
+}
+
 double Policy::mean_speed() const {
-  double sum = 0;
-  int count = 0;
-  for (const Executor& executor : executors)
-    if (executor.latency > 0 && executor.standing == Standing::kReady) {
-      sum += executor.work / executor.latency;
-      ++count;
-    }
-  return count > 0 ? sum / count : 1.0;
+  return speed_count_ > 0 ? speed_sum_ / speed_count_ : 1.0;
 }
 
 double Policy::speed(const Executor& executor) const {
@@ -206,6 +211,13 @@
   executor.wait.at = now;
 }
 
+// Whether one sent now would begin in time if it waits like the last; a wait that is short enough undecayed
+// needs no reading.
+bool Policy::begins_by(Time now, Executor& executor, Time latest) const {
+  return now + from_seconds(executor.wait.value) <= latest ||
+         now + from_seconds(executor.wait.read(now, wait_life())) <= latest;
+}
+
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
@@ -214,8 +226,7 @@
   for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
     for (int i = 0; i < static_cast<int>(executors.size()); ++i)
       // If every executor looks bad the work still flows: the second pass asks nothing of health.
-      if (has_room(executors[i]) && now + from_seconds(executors[i].wait.read(now, fade)) <= latest &&
-          may_launch(now, submission, i) &&
+      if (has_room(executors[i]) && begins_by(now, executors[i], latest) && may_launch(now, submission, i) &&
           (pass == 1 || (!tried(submission, i) && !doubted(now, executors[i]))))
         ready_.push_back(i);
   if (ready_.empty()) return -1;
@@ -323,6 +334,7 @@
 
 // Drawn from the posterior of its chance of success: a doubtful executor is never quite forgotten.
 bool Policy::doubted(Time now, Executor& executor) {
+  if (executor.bad.value < 0.3) return false;
   const double bad = executor.bad.read(now, kHealthLife);
   if (bad < 0.3) return false;
   const double good = executor.good.read(now, kHealthLife);
@@ -352,8 +364,8 @@
   ++executor.open;
   ++executor.unstarted;
   executor.open_cost += launch.cost;
-  while (!executor.cold_sends.empty() && now - executor.cold_sends.front().first > settings_.fall_span)
-    executor.cold_sends.pop_front();
+  std::erase_if(executor.cold_sends,
+                [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
   if (now - executor.started < settings_.warm_up + settings_.fall_span)
     executor.cold_sends.emplace_back(now, launch.cost * submission.width);
   host_.launch(index, to, submission.due);
@@ -684,11 +696,14 @@
       if (executor.latency <= 0) {
         executor.work = launch.cost;
         executor.latency = launch.cost / mean;
+        count_speed(executor, 1);
       }
       const double run = launch.began >= 0 ? std::max(1e-4, seconds(now - launch.began)) : took;
       const double work = run * executor.work / executor.latency / mean;
+      count_speed(executor, -1);
       executor.work += kSpeedWeight * (launch.cost - executor.work);
       executor.latency += kSpeedWeight * (took - executor.latency);
+      count_speed(executor, 1);
       double& weight = work_weight_[submission.use_case];
       weight += 1;
       work_[submission.use_case] += std::max(kCostWeight, 1 / weight) * (work - work_[submission.use_case]);
--- a/src/policy.h
+++ b/src/policy.h
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <random>
 #include <string_view>
 #include <utility>
@@ -93,7 +92,7 @@
   Load load;
   Time load_at = 0;
   int unstarted_at_load = 0;
-  std::deque<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
+  std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
 };
 
 // The shortest time until an executor of a zone was first heard of, in this span and the one before.
@@ -194,6 +193,8 @@
   void seek_elsewhere(Time now, int submission);
   bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
+  void count_speed(const Executor& executor, int sign);
+  bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
 
@@ -207,6 +208,8 @@
   std::vector<ZoneDelay> zones_;
   DecayingSum asked_value_, asked_work_;  // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;       // seconds until launches began, and how many
+  double speed_sum_ = 0;                  // of the ready executors whose speed is known
+  int speed_count_ = 0;
   std::uint64_t list_ = 0;                // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
   Time overload_seen_ = -kNever;
