--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -218,17 +218,29 @@
          now + from_seconds(executor.wait.read(now, wait_life())) <= latest;
 }
 
+// With many nodes of little traffic nearly every launch would open a connection, and what is learned of an
+// executor would be out of date at the next: while this many connected ones have room, no other is ready.
+constexpr std::size_t kLeastWarm = 4;
+
+bool Policy::connected(Time now, const Executor& executor) const {
+  return executor.connections * settings_.streams > executor.open &&
+         now - executor.used < settings_.connection_idle;
+}
+
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   ready_.clear();
   const Time fade = wait_life();
   const Time latest = std::max(last_start(submission, kGiveWayChance), now);
-  for (int pass = 0; pass < 2 && ready_.empty(); ++pass)
+  for (int pass = 0; pass < 3 && (ready_.empty() || (pass == 1 && ready_.size() < kLeastWarm)); ++pass) {
+    ready_.clear();
     for (int i = 0; i < static_cast<int>(executors.size()); ++i)
-      // If every executor looks bad the work still flows: the second pass asks nothing of health.
-      if (has_room(executors[i]) && begins_by(now, executors[i], latest) && may_launch(now, submission, i) &&
-          (pass == 1 || (!tried(submission, i) && !doubted(now, executors[i]))))
+      // If every executor looks bad the work still flows: the last pass asks nothing of health.
+      if ((pass > 0 || connected(now, executors[i])) && has_room(executors[i]) &&
+          begins_by(now, executors[i], latest) && may_launch(now, submission, i) &&
+          (pass == 2 || (!tried(submission, i) && !doubted(now, executors[i]))))
         ready_.push_back(i);
+  }
   if (ready_.empty()) return -1;
   const double work = cost(submission);
   const double mean = mean_speed();
@@ -361,7 +373,10 @@
   launch.sent = launch.heard = now;
   launch.cost = cost(submission);
   submission.launches.push_back(launch);
+  if (now - executor.used >= settings_.connection_idle) executor.connections = 0;
+  executor.used = now;
   ++executor.open;
+  executor.connections = std::max(executor.connections, (executor.open + settings_.streams - 1) / settings_.streams);
   ++executor.unstarted;
   executor.open_cost += launch.cost;
   std::erase_if(executor.cold_sends,
@@ -683,6 +698,11 @@
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
   close_launch(now, submission, launch);
+  // One that ends without an answer takes its connection with it.
+  if (settings_.streams == 1 && outcome != Outcome::kSatisfied && outcome != Outcome::kErrored &&
+      outcome != Outcome::kTurnedAway)
+    executors[launch.executor].connections = std::max(0, executors[launch.executor].connections - 1);
+  executors[launch.executor].used = now;
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
   Executor& executor = executors[launch.executor];
--- a/src/policy.h
+++ b/src/policy.h
@@ -53,6 +53,8 @@
   bool ask_for_roster = false;
   Time ask_within = kNever;
   Time quantum = 0;
+  int streams = 1;  // launches that one connection carries at once
+  Time connection_idle = 0;
   int most_launches = 1;
   bool second_copies = false;
   bool cancelling = false;
@@ -86,6 +88,8 @@
   Time started = 0;              // 0: long ago
   double work = 0, latency = 0;  // smoothed, of satisfied launches; their ratio is the speed
   DecayingSum good, bad;         // outcomes, for the posterior of its chance of success
+  int connections = 0;           // open to it, busy or idle
+  Time used = 0;                 // when one was last
   int open = 0, unstarted = 0;   // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0;
   DecayingSum wait;  // seconds that the last launch waited to begin
@@ -194,6 +198,7 @@
   bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
   void count_speed(const Executor& executor, int sign);
+  bool connected(Time now, const Executor& executor) const;
   bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -6,6 +6,7 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <cmath>
 #include <memory>
 #include <unordered_map>
@@ -272,6 +273,8 @@
   s.ask_for_roster = mode.IsString() && text(mode, "membershipMode") == "ask";
   const Value& caps = needed(info, "caps");
   s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
+  s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
+  s.connection_idle = to_time(setting(caps, "connIdle", 0));
   s.second_copies = flag(caps, "secondCopies");
   s.cancelling = flag(caps, "cancelling");
   if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
