--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -619,6 +619,11 @@
   }
   const bool begun = std::any_of(submission.launches.begin(), submission.launches.end(),
                                  [](const Launch& launch) { return launch.pending && launch.began >= 0; });
+  // Where many nodes queue at the executors none holds anything: what waits there, unblamed, is held too.
+  const bool queued = std::any_of(submission.launches.begin(), submission.launches.end(),
+                                  [](const Launch& launch) { return launch.pending && !launch.blamed; });
+  if (!begun && queued && settings_.tells_start && now >= last_start(submission, kNearlyEaten))
+    overload_seen_ = now;
   if (!begun && settings_.tells_start) {
     const Time until = keep_until(now, submission);
     if (now >= until) return end(now, index, true);
--- a/src/policy.h
+++ b/src/policy.h
@@ -155,6 +155,7 @@
 
   // The parts of a decision, open to tests and to whoever wants to look.
   double speed(const Executor& executor) const;
+  void count_speed(const Executor& executor, int sign);  // into the mean, or out of it
   Time delay(const Executor& executor) const;
   static int choices(const std::vector<double>& chances);
   int pick(Time now, const Submission& submission);
@@ -197,7 +198,6 @@
   void seek_elsewhere(Time now, int submission);
   bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
-  void count_speed(const Executor& executor, int sign);
   bool connected(Time now, const Executor& executor) const;
   bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -43,6 +43,7 @@
   node.policy.executors[0].work = node.policy.executors[1].work = 1;
   node.policy.executors[0].latency = 1;
   node.policy.executors[1].latency = 0.25;
+  for (const int i : {0, 1}) node.policy.count_speed(node.policy.executors[i], 1);
   EXPECT_DOUBLE_EQ(node.policy.speed(node.policy.executors[2]), 2.5);
 }
 
@@ -329,6 +330,34 @@
   EXPECT_TRUE(node.host.launches.empty());
 }
 
+// With many nodes each executor's queue is made of one launch of every node, and no node holds anything.
+TEST(Overload, ALaunchThatWaitsAtASoundExecutorTellsOfItToo) {
+  Settings settings = small_settings();
+  settings.use_cases[0].agreed_time = kSecond / 10;
+  settings.use_cases[0].overdue_value = 0.5;  // out of overload kept until its hard limit
+  Node node(1, settings);
+  node.arrive(0, 0);
+  node.policy.executors[0].open_cost = 0;
+  node.look_at(0, kNow + kSecond / 5);
+  EXPECT_LT(node.policy.keep_until(kNow + kSecond / 5, node.policy.submissions[0]), kNow + 4 * kSecond);
+}
+
+// A node of little traffic that opened a connection for every launch paid more for them than for lateness.
+TEST(Connections, WhileTwoConnectedExecutorsHaveRoomNoOtherIsReady) {
+  Settings settings = small_settings();
+  settings.connection_idle = 10 * kSecond;
+  Node node(6, settings);
+  for (const int i : {1, 4}) {
+    node.policy.executors[i].connections = 1;
+    node.policy.executors[i].used = kNow;
+  }
+  const int picks = picks_of(node, 1, 100) + picks_of(node, 4, 100);
+  EXPECT_GT(picks, 60);
+  EXPECT_EQ(picks_of(node, 0, 100), 0);
+  node.policy.executors[1].connections = 0;
+  EXPECT_GT(picks_of(node, 0, 100), 0);
+}
+
 TEST(Fairness, WhatIsBeyondACustomersWholeShareIsMarked) {
   Settings settings = small_settings();
   settings.allowances = {2.0};
