--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -311,10 +311,25 @@
   }
   // Rule 4: a cold executor gets no more than our share of what it can surely bear.
   if (now - executor.started >= settings_.warm_up + settings_.fall_span || executor.started == 0) return true;
-  double sent = cost(submission) * submission.width;
-  for (const auto& [when, work] : executor.cold_sends)
-    if (now - when <= settings_.fall_span) sent += work;
-  return sent <= cold_budget(now, executor);
+  const double work = cost(submission) * submission.width;
+  double sent = work;
+  for (const auto& [when, earlier] : executor.cold_sends)
+    if (now - when <= settings_.fall_span) sent += earlier;
+  const double budget = cold_budget(now, executor);
+  return sent <= budget || (sent <= work && wins_cold_start(now, executor, work, budget));
+}
+
+// Where our share is less than one launch, one goes with the chance share / work, so that all nodes together
+// send what the shares allow on the mean. Drawn once for each span: a draw for each try would multiply it.
+// Only for small work, as the sum of a few heavy ones spreads too far.
+bool Policy::wins_cold_start(Time now, Executor& executor, double work, double budget) {
+  constexpr double kLeastParts = 4;  // a sum of four spreads by half; 2 and 8 fare alike
+  if (work * kLeastParts > budget * settings_.replicas) return false;
+  if (now - executor.lot_at > settings_.fall_span) {
+    executor.lot_at = now;
+    executor.lot = uniform(random_);
+  }
+  return executor.lot * work < budget;
 }
 
 bool Policy::may_push_back(const Submission& submission) const {
--- a/src/policy.h
+++ b/src/policy.h
@@ -96,6 +96,8 @@
   Load load;
   Time load_at = 0;
   int unstarted_at_load = 0;
+  Time lot_at = -kNever;
+  double lot = 1;  // drawn for this span: whether one launch may go while it is cold
   std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
 };
 
@@ -199,6 +201,7 @@
   bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
   bool connected(Time now, const Executor& executor) const;
+  bool wins_cold_start(Time now, Executor& executor, double work, double budget);
   bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -171,6 +171,28 @@
   EXPECT_TRUE(node.policy.may_launch(kNow + 3 * kSecond, node.policy.submissions[0], 0));
 }
 
+// A share of less than one launch left every cold executor without work for its whole warm-up. All nodes learn
+// of it in step here, and each has more for it than it may send.
+TEST(Rule4, AShareOfLessThanOneLaunchIsDrawnAndTheSumStaysUnderTheLimit) {
+  Settings settings = small_settings();
+  settings.replicas = 400;
+  const double work = 0.1;
+  double sent = 0;
+  for (int seed = 0; seed < settings.replicas; ++seed) {
+    Recorder host;
+    Policy policy(settings, host, seed, kNow);
+    policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, kNow);
+    policy.roster_arrived(kNow, RosterForm::kChanges);
+    for (int i = 0; i < 5; ++i) {
+      policy.submission_arrived(kNow, i, 0, -1, kNow + 5 * kSecond, work, 1, 0, false);
+      if (!host.launches.empty()) policy.launch_started(kNow, host.launches[0].submission, 0);
+    }
+    sent += work * static_cast<double>(host.launches.size());
+  }
+  EXPECT_GT(sent, 0.5);
+  EXPECT_LT(sent, 4 * 0.5 * 1.0);  // multiple x cold share x span, at speed 1
+}
+
 // --- Following the list ---
 
 TEST(List, IsAskedForAtStartAndAfterRefusals) {
