--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -495,6 +495,12 @@
   const double usual =
       asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
   const double chance = (crowded ? kGiveWayChance : 0.6) * usual / value_per_work(submission);
+  // One that is worth less than the room even if surely in time may begin at once or not at all. Only where
+  // this part of the last submissions waited until their chance fell: a short crowd passes. 0.3 and 0 are worse.
+  constexpr double kMuchWaiting = 0.15;
+  if (crowded && chance > 1 &&
+      waited_.read(now, kHealthLife) > kMuchWaiting * arrivals_.read(now, kHealthLife))
+    return now;
   return std::min(limit, last_start(submission, std::clamp(chance, 0.05, 0.95)));
 }
 
@@ -569,6 +575,7 @@
     submission.within_share = rate <= settings_.allowances[customer];
   }
   submission.due = due;
+  arrivals_.add(now, kHealthLife, 1);
   asked_value_.add(now, kHealthLife, value(submission));
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   wake(due - 2 * settings_.quantum, index);
@@ -637,8 +644,11 @@
   // Where many nodes queue at the executors none holds anything: what waits there, unblamed, is held too.
   const bool queued = std::any_of(submission.launches.begin(), submission.launches.end(),
                                   [](const Launch& launch) { return launch.pending && !launch.blamed; });
-  if (!begun && queued && settings_.tells_start && now >= last_start(submission, kNearlyEaten))
+  if (!begun && queued && settings_.tells_start && now >= last_start(submission, kNearlyEaten)) {
     overload_seen_ = now;
+    if (!submission.waited_long) waited_.add(now, kHealthLife, 1);
+    submission.waited_long = true;
+  }
   if (!begun && settings_.tells_start) {
     const Time until = keep_until(now, submission);
     if (now >= until) return end(now, index, true);
--- a/src/policy.h
+++ b/src/policy.h
@@ -114,7 +114,7 @@
 };
 
 struct Submission {
-  bool open = false, held = false;
+  bool open = false, held = false, waited_long = false;
   std::uint32_t serial = 0;
   int use_case = 0, width = 1;
   double hint = 0;
@@ -214,6 +214,7 @@
   std::vector<DecayingSum> asked_;          // by customer
   std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
   std::vector<ZoneDelay> zones_;
+  DecayingSum arrivals_, waited_;  // of late, all and those that waited until their chance fell
   DecayingSum asked_value_, asked_work_;  // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;       // seconds until launches began, and how many
   double speed_sum_ = 0;                  // of the ready executors whose speed is known
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -364,6 +364,20 @@
   EXPECT_LT(node.policy.keep_until(kNow + kSecond / 5, node.policy.submissions[0]), kNow + 4 * kSecond);
 }
 
+// In a lasting overload what is worth little for its work held the room of what is worth most.
+TEST(Overload, WhatIsWorthLessThanItsRoomIsGivenUpAsSoonAsItWaits) {
+  Settings settings = small_settings();
+  settings.use_cases[0].agreed_time = kSecond / 10;
+  settings.use_cases[2].billing_value = 8;
+  Node node(1, settings);
+  for (const int i : {0, 1}) node.arrive(i, 2 * i);
+  EXPECT_GT(node.policy.keep_until(kNow, node.policy.submissions[0]), kNow);
+  node.look_at(0, kNow + kSecond / 5);
+  node.arrive(2, 0, kNow + kSecond / 5);
+  EXPECT_EQ(node.policy.keep_until(kNow + kSecond / 5, node.policy.submissions[2]), kNow + kSecond / 5);
+  EXPECT_GT(node.policy.keep_until(kNow + kSecond / 5, node.policy.submissions[1]), kNow + kSecond / 5);
+}
+
 // A node of little traffic that opened a connection for every launch paid more for them than for lateness.
 TEST(Connections, WhileTwoConnectedExecutorsHaveRoomNoOtherIsReady) {
   Settings settings = small_settings();
