--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -71,7 +71,11 @@
 
 void Policy::executor_listed(Time now, int index, int zone, int kind, int cell, Standing standing,
                              Time started) {
-  if (index >= static_cast<int>(executors.size())) executors.resize(index + 1);
+  for (int added = static_cast<int>(executors.size()); added <= index; ++added) {
+    executors.emplace_back();
+    order_.push_back(added);
+    std::swap(order_.back(), order_[random_() % order_.size()]);
+  }
   if (zone >= static_cast<int>(zones_.size())) zones_.resize(zone + 1);
   if (kind >= static_cast<int>(widest_.size())) widest_.resize(kind + 1, 1.0);
   Executor& executor = executors[index];
@@ -221,27 +225,42 @@
 // With many nodes of little traffic nearly every launch would open a connection, and what is learned of an
 // executor would be out of date at the next: while this many connected ones have room, no other is ready.
 // TPD's least d; 3, 4 and 6 lose on all the grown deployments.
-constexpr std::size_t kLeastConnected = 2;
+constexpr std::size_t kLeastReady = 2;
 
 bool Policy::connected(Time now, const Executor& executor) const {
   return executor.connections * settings_.streams > executor.open &&
          now - executor.used < settings_.connection_idle;
 }
 
+// Fills the ready set, from the connected executors or from the whole roster. A look at all of a large fleet
+// for every launch costs too much: from a random place in an order of this node's own it goes on for kLooks,
+// and then only until as many are ready as TPD draws at least.
+void Policy::find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health) {
+  constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
+  const Time latest = std::max(last_start(submission, kGiveWayChance), now);
+  const std::vector<int>& from = connected_only ? contacts : order_;
+  ready_.clear();
+  if (from.empty()) return;
+  std::size_t at = connected_only ? 0 : random_() % from.size();
+  for (std::size_t n = 0; n < from.size() && (n < kLooks || ready_.size() < kLeastReady); ++n) {
+    const int i = from[at];
+    Executor& executor = executors[i];
+    at = at + 1 < from.size() ? at + 1 : 0;
+    if (executor.standing == Standing::kReady && (!connected_only || connected(now, executor)) &&
+        has_room(executor) && begins_by(now, executor, latest) && may_launch(now, submission, i) &&
+        (!ask_health || (!tried(submission, i) && !doubted(now, executor))))
+      ready_.push_back(i);
+  }
+}
+
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
-  ready_.clear();
   const Time fade = wait_life();
-  const Time latest = std::max(last_start(submission, kGiveWayChance), now);
-  for (int pass = 0; pass < 3 && (ready_.empty() || (pass == 1 && ready_.size() < kLeastConnected)); ++pass) {
-    ready_.clear();
-    for (int i = 0; i < static_cast<int>(executors.size()); ++i)
-      // If every executor looks bad the work still flows: the last pass asks nothing of health.
-      if ((pass > 0 || connected(now, executors[i])) && has_room(executors[i]) &&
-          begins_by(now, executors[i], latest) && may_launch(now, submission, i) &&
-          (pass == 2 || (!tried(submission, i) && !doubted(now, executors[i]))))
-        ready_.push_back(i);
-  }
+  std::erase_if(contacts, [&](int i) { return !connected(now, executors[i]) && executors[i].open == 0; });
+  find_ready(now, submission, true, true);
+  if (ready_.size() < kLeastReady) find_ready(now, submission, false, true);
+  // If every executor looks bad the work still flows.
+  if (ready_.empty()) find_ready(now, submission, false, false);
   if (ready_.empty()) return -1;
   const double work = cost(submission);
   const double mean = mean_speed();
@@ -389,10 +408,12 @@
   launch.sent = launch.heard = now;
   launch.cost = cost(submission);
   submission.launches.push_back(launch);
+  if (std::find(contacts.begin(), contacts.end(), to) == contacts.end()) contacts.push_back(to);
   if (now - executor.used >= settings_.connection_idle) executor.connections = 0;
   executor.used = now;
   ++executor.open;
-  executor.connections = std::max(executor.connections, (executor.open + settings_.streams - 1) / settings_.streams);
+  const int needed = (executor.open + settings_.streams - 1) / settings_.streams;
+  executor.connections = std::max(executor.connections, needed);
   ++executor.unstarted;
   executor.open_cost += launch.cost;
   std::erase_if(executor.cold_sends,
@@ -496,7 +517,7 @@
       asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
   const double chance = (crowded ? kGiveWayChance : 0.6) * usual / value_per_work(submission);
   // One that is worth less than the room even if surely in time may begin at once or not at all. Only where
-  // this part of the last submissions waited until their chance fell: a short crowd passes. 0.3 and 0 are worse.
+  // this part of the last submissions waited until their chance fell; a short crowd passes. 0.3 and 0 lose
   constexpr double kMuchWaiting = 0.15;
   if (crowded && chance > 1 &&
       waited_.read(now, kHealthLife) > kMuchWaiting * arrivals_.read(now, kHealthLife))
--- a/src/policy.h
+++ b/src/policy.h
@@ -168,6 +168,7 @@
   Time keep_until(Time now, const Submission& submission);
 
   std::vector<Executor> executors;
+  std::vector<int> contacts;  // executors that may have a connection of ours
   std::vector<Submission> submissions;  // by the index that the adapter gives; reused
 
  private:
@@ -202,6 +203,7 @@
   double mean_speed() const;
   bool connected(Time now, const Executor& executor) const;
   bool wins_cold_start(Time now, Executor& executor, double work, double budget);
+  void find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health);
   bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
@@ -224,6 +226,7 @@
   Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
+  std::vector<int> order_;       // all executors, as this node goes through them
   std::vector<int> ready_;       // scratch of pick
   std::vector<double> chances_;  // scratch of pick
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -378,6 +378,20 @@
   EXPECT_GT(node.policy.keep_until(kNow + kSecond / 5, node.policy.submissions[1]), kNow + kSecond / 5);
 }
 
+// A scan of more than a thousand executors for every launch cost more than a node may spend; where the look
+// ends early, the last of the roster must not be left out.
+TEST(Pick, AFewOfALargeFleetAreLookedAtButNoneIsLeftOut) {
+  Node node(300);
+  int beyond = 0;
+  for (int i = 0; i < 100; ++i) {
+    node.arrive(i, 0);
+    node.policy.client_left(kNow, i);
+    beyond += node.host.launches.at(i).executor >= 200 ? 1 : 0;
+  }
+  EXPECT_GT(beyond, 15);
+  EXPECT_LT(beyond, 60);
+}
+
 // A node of little traffic that opened a connection for every launch paid more for them than for lateness.
 TEST(Connections, WhileTwoConnectedExecutorsHaveRoomNoOtherIsReady) {
   Settings settings = small_settings();
@@ -386,6 +400,7 @@
   for (const int i : {1, 4}) {
     node.policy.executors[i].connections = 1;
     node.policy.executors[i].used = kNow;
+    node.policy.contacts.push_back(i);
   }
   const int picks = picks_of(node, 1, 100) + picks_of(node, 4, 100);
   EXPECT_GT(picks, 60);
