Customer fairness out, connected ones first takes its place among the six; unread fields out

With it go the customer, memory and repeat mark of submission_arrived and UseCase::hard_limit, which nothing read.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,8 +7,8 @@
 //   1. health posterior           doubted(), blame()
 //   2. time-outs, further launches  further(), seek_elsewhere()
 //   3. overload pushback          has_room(), keep_until(), serve_held()
-//   4. customer fairness          value()
-//   5. cold budget                cold_budget()
+//   4. connected ones first       find_ready()
+//   5. cold budget                cold_budget(), wins_cold_start()
 //   6. following the list         follow_list()
 #include "policy.h"
 
@@ -62,8 +62,7 @@
       host_(host),
       random_(seed),
       work_(settings_.use_cases.size(), 1.0),
-      work_weight_(settings_.use_cases.size(), 0.0),
-      asked_(settings_.allowances.size()) {
+      work_weight_(settings_.use_cases.size(), 0.0) {
   tick(now);
 }
 
@@ -466,11 +465,6 @@
   wake(now + kSecond / 50, index);
 }
 
-double Policy::value(const Submission& submission) const {
-  const UseCase& use_case = settings_.use_cases[submission.use_case];
-  return use_case.billing_value * (submission.within_share ? 1.0 : settings_.overage_value);
-}
-
 // What the mean submission of its use case may wait beyond its agreed time and still be in time.
 double Policy::mean_leeway(const Submission& submission) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
@@ -503,7 +497,8 @@
 }
 
 double Policy::value_per_work(const Submission& submission) const {
-  return value(submission) / (cost(submission) * submission.width);
+  const double work = cost(submission) * submission.width;
+  return settings_.use_cases[submission.use_case].billing_value / work;
 }
 
 // Until when a submission that has not begun is kept: while its chance to be in time, times its value per
@@ -574,11 +569,8 @@
 
 // --- What happens ---
 
-// Long enough to average a node's few submissions a second, short enough to follow a customer's surge.
-constexpr Time kShareLife = 5 * kSecond;
-
-void Policy::submission_arrived(Time now, int index, int use_case, int customer, Time due, double hint,
-                                int width, double, bool) {
+void Policy::submission_arrived(Time now, int index, int use_case, Time due, double hint,
+                                int width) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
   Submission& submission = submissions[index];
   submission = Submission{};
@@ -588,16 +580,9 @@
   submission.width = width;
   submission.hint = hint;
   submission.arrived = now;
-  if (customer >= 0) {
-    asked_[customer].add(now, kShareLife, 1);
-    const double rate = asked_[customer].value / seconds(kShareLife);
-    // A node sees only a part of a customer's traffic and not how large a part: only what this part alone has
-    // beyond the whole share is surely beyond it.
-    submission.within_share = rate <= settings_.allowances[customer];
-  }
   submission.due = due;
   arrivals_.add(now, kHealthLife, 1);
-  asked_value_.add(now, kHealthLife, value(submission));
+  asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   wake(due - 2 * settings_.quantum, index);
   place(now, index);
--- a/src/policy.h
+++ b/src/policy.h
@@ -35,7 +35,6 @@
 struct UseCase {
   Time agreed_time = kSecond;
   double stretch = 0;  // the agreed time grows by this multiple of the submission's own work
-  Time hard_limit = 5 * kSecond;
   double billing_value = 1;
   double overdue_value = 0;  // the part of it that an answer after the agreed time still earns
   Effect effect = Effect::kReplayable;
@@ -46,8 +45,6 @@
 
 struct Settings {
   std::vector<UseCase> use_cases;
-  std::vector<double> allowances;  // submissions a second within each customer's share, over all nodes
-  double overage_value = 1;        // what a submission beyond the share is worth, as a part
   int zone = 0;
   int replicas = 1;
   bool ask_for_roster = false;
@@ -118,7 +115,6 @@
   std::uint32_t serial = 0;
   int use_case = 0, width = 1;
   double hint = 0;
-  bool within_share = true;
   Time arrived = 0, due = 0;
   std::vector<Launch> launches;
 };
@@ -144,8 +140,7 @@
   void roster_arrived(Time now, RosterForm form);
   void roster_refused(Time now);
 
-  void submission_arrived(Time now, int submission, int use_case, int customer, Time due, double hint,
-                          int width, double memory, bool repeat);
+  void submission_arrived(Time now, int submission, int use_case, Time due, double hint, int width);
   void launch_started(Time now, int submission, int launch);
   void launch_progressed(Time now, int submission, int launch, double share_done);
   void launch_ended(Time now, int submission, int launch, Outcome outcome, Time latency, bool settled,
@@ -183,7 +178,6 @@
   void close_launch(Time now, Submission& submission, Launch& launch);
   void follow_list(Time now);
   void tick(Time now);
-  double value(const Submission& submission) const;
   double value_per_work(const Submission& submission) const;
   Time last_start(const Submission& submission, double chance) const;
   double chance_in_time(Time now, const Submission& submission) const;
@@ -213,7 +207,6 @@
   std::mt19937 random_;
   std::vector<double> work_, work_weight_;  // learned cost of each use case, in seconds on the mean executor
   std::vector<int> held_;                   // submissions without a launch, in order of arrival
-  std::vector<DecayingSum> asked_;          // by customer
   std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
   std::vector<ZoneDelay> zones_;
   DecayingSum arrivals_, waited_;  // of late, all and those that waited until their chance fell
