--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -675,8 +675,10 @@
 void Policy::seek_elsewhere(Time now, int index) {
   Submission& submission = submissions[index];
   if (settings_.second_copies) {
-    constexpr int kMostPending = 2;  // more take from others the room that they seek; 3 and 5 are no better
-    if (pending_launches(submission) >= kMostPending) return;
+    // Nodes that see little find a free slot by looking into one more place. 4 is no better, and 3 loses where
+    // connections have a price.
+    const int most_pending = settings_.connections_cost ? 2 : 3;
+    if (pending_launches(submission) >= most_pending) return;
     const int to = pick(now, submission);
     if (to >= 0) send(now, index, to);
     return;
--- a/src/policy.h
+++ b/src/policy.h
@@ -52,6 +52,7 @@
   Time quantum = 0;
   int streams = 1;  // launches that one connection carries at once
   Time connection_idle = 0;
+  bool connections_cost = false;
   int most_launches = 1;
   bool second_copies = false;
   bool cancelling = false;
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -267,6 +267,7 @@
   s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
   s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
   s.connection_idle = to_time(setting(caps, "connIdle", 0));
+  s.connections_cost = setting(member(info, "prices"), "handshake", 0) > 0;
   s.second_copies = flag(caps, "secondCopies");
   s.cancelling = flag(caps, "cancelling");
   if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
