--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -512,7 +512,7 @@
       asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
   const double chance = (crowded ? kGiveWayChance : 0.6) * usual / value_per_work(submission);
   // One that is worth less than the room even if surely in time may begin at once or not at all. Only where
-  // this part of the last submissions waited until their chance fell; a short crowd passes. 0.3 and 0 lose
+  // this part of the last submissions waited until their chance fell; a short crowd passes. 0.3 and 0 lose.
   constexpr double kMuchWaiting = 0.15;
   if (crowded && chance > 1 &&
       waited_.read(now, kHealthLife) > kMuchWaiting * arrivals_.read(now, kHealthLife))
@@ -569,8 +569,7 @@
 
 // --- What happens ---
 
-void Policy::submission_arrived(Time now, int index, int use_case, Time due, double hint,
-                                int width) {
+void Policy::submission_arrived(Time now, int index, int use_case, Time due, double hint, int width) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
   Submission& submission = submissions[index];
   submission = Submission{};
@@ -675,8 +674,8 @@
 void Policy::seek_elsewhere(Time now, int index) {
   Submission& submission = submissions[index];
   if (settings_.second_copies) {
-    // Nodes that see little find a free slot by looking into one more place. 4 is no better, and 3 loses where
-    // connections have a price.
+    // Nodes that see little find a free slot by looking into one more place. 4 is no better, and 3 loses
+    // where connections have a price.
     const int most_pending = settings_.connections_cost ? 2 : 3;
     if (pending_launches(submission) >= most_pending) return;
     const int to = pick(now, submission);
@@ -813,16 +812,6 @@
   cancel_pending(index, nullptr);
 }
 
-void Policy::probe_answered(Time now, int index, bool well, Time latency, const Load* load) {
-  Executor& executor = executors[index];
-  if (well) {
-    heard_from(now, executor, latency);
-    take_load(now, executor, load);
-  }
-}
-
-void Policy::peer_message(Time, int, std::string_view) {}
-
 void Policy::timer_due(Time now, std::uint64_t token) {
   if (token == kTickToken) return tick(now);
   const std::uint64_t index = token & ((1u << kIndexBits) - 1);
--- a/src/policy.h
+++ b/src/policy.h
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstdint>
 #include <random>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -127,7 +126,6 @@
   virtual void push_back(int submission, Time stay_away) = 0;
   virtual void abort(int submission) = 0;
   virtual void cancel(int submission, int launch) = 0;
-  virtual void probe(int executor) = 0;  // not called as yet: it did not earn its price
   virtual void subscribe() = 0;
   virtual void wake_at(Time when, std::uint64_t token) = 0;
 };
@@ -147,8 +145,6 @@
   void launch_ended(Time now, int submission, int launch, Outcome outcome, Time latency, bool settled,
                     const Load* load);
   void client_left(Time now, int submission);
-  void probe_answered(Time now, int executor, bool well, Time latency, const Load* load);
-  void peer_message(Time now, int sender, std::string_view bytes);
   void timer_due(Time now, std::uint64_t token);
 
   // The parts of a decision, open to tests and to whoever wants to look.
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -160,11 +160,6 @@
     reply_.writer.Int(launch);
     reply_.writer.EndArray();
   }
-  void probe(int executor) override {
-    reply_.begin("Test", id_);
-    reply_.writer.Uint64(executor_ids_[executor]);
-    reply_.writer.EndArray();
-  }
   void subscribe() override {
     reply_.begin("Observe", id_);
     reply_.writer.Bool(true);
@@ -193,10 +188,6 @@
     const auto found = submissions_.find(whole(id, "msgId"));
     return found == submissions_.end() ? -1 : found->second;
   }
-  int executor(const Value& id) const {
-    const auto found = executors_.find(whole(id, "executor"));
-    return found == executors_.end() ? -1 : found->second;
-  }
   int launch_of(int submission, const Value& leg) const {
     const std::uint64_t number = whole(leg, "leg");
     return number < policy_->submissions[submission].launches.size() ? static_cast<int>(number) : -1;
@@ -376,18 +367,6 @@
     policy_->client_left(now, index);
     return release_if_over(index);
   }
-  if (name == "Checked") {
-    const int index = executor(at(message, 2));
-    const std::uint64_t status = whole(at(message, 3), "status");
-    Load report;
-    const Load* given = load(at(message, 5), report);
-    if (index < 0) return;
-    return policy_->probe_answered(now, index, status == 200,
-                                   to_time(number_or(at(message, 4), 0, "latency")), given);
-  }
-  if (name == "Message")
-    return policy_->peer_message(now, static_cast<int>(number_or(at(message, 2), -1, "sender")),
-                                 text(at(message, 3), "bytes"));
 }
 
 }  // namespace
@@ -422,11 +401,10 @@
       bad("news: a message must be a list that begins with its name");
     const std::string_view name = text(message[0], "news: a message's name");
     static constexpr std::string_view kKnown[] = {"Hello",    "Topology",   "Knock",      "TickDue",
-                                                  "CrashNow", "StatusNote", "ClientGone", "Checked",
-                                                  "Result",   "Message"};
+                                                  "CrashNow", "StatusNote", "ClientGone", "Result"};
     bool known = false;
     for (const std::string_view k : kKnown) known = known || k == name;
-    if (!known) continue;  // an event of a later wire
+    if (!known) continue;  // an event of a later wire, or one that nothing here calls for
     try {
       const std::uint64_t id = whole(at(message, 1), "node");
       if (name == "CrashNow") {
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -14,7 +14,7 @@
     Time give_up_at;
   };
   std::vector<Sent> launches;
-  std::vector<int> pushed_back, aborted, probed;
+  std::vector<int> pushed_back, aborted;
   std::vector<std::pair<int, int>> cancelled;
   int subscriptions = 0;
   void launch(int submission, int executor, Time give_up_at) override {
@@ -23,7 +23,6 @@
   void push_back(int submission, Time) override { pushed_back.push_back(submission); }
   void abort(int submission) override { aborted.push_back(submission); }
   void cancel(int submission, int number) override { cancelled.emplace_back(submission, number); }
-  void probe(int executor) override { probed.push_back(executor); }
   void subscribe() override { ++subscriptions; }
   void wake_at(Time, std::uint64_t) override {}
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -218,22 +218,27 @@
 
 TEST(Delay, IsTheGapOfShortestFirstWordsAndZeroWhileUnheardOf) {
   Node node(2);
-  EXPECT_EQ(node.policy.delay(node.policy.executors[1]), 0);
-  node.policy.probe_answered(kNow, 0, true, 10, nullptr);
-  EXPECT_EQ(node.policy.delay(node.policy.executors[1]), 0);
-  node.policy.probe_answered(kNow, 1, true, 110, nullptr);
-  EXPECT_EQ(node.policy.delay(node.policy.executors[1]), 100);
+  for (const int i : {0, 1}) node.arrive(i, 0);
+  const Executor& there = node.policy.executors[1];
+  const int first = node.host.launches.at(0).executor == 1 ? 0 : 1;  // the submission that went there
+  EXPECT_EQ(node.policy.delay(there), 0);
+  node.policy.launch_started(kNow + 10, 1 - first, 0);
+  EXPECT_EQ(node.policy.delay(there), 0);
+  node.policy.launch_started(kNow + 110, first, 0);
+  EXPECT_EQ(node.policy.delay(there), 100);
   EXPECT_EQ(node.policy.delay(node.policy.executors[0]), 0);
 }
 
 TEST(Pick, TheReportedQueueLessOursCounts) {
   Node node(2);
-  Load load;
-  load.waiting = 4;
-  node.policy.probe_answered(kNow, 0, true, 10, &load);
-  node.policy.probe_answered(kNow, 1, true, 10, nullptr);
+  node.policy.executors[0].load.waiting = 4;
+  node.policy.executors[0].load_at = kNow;
   node.arrive(0, 0);
   EXPECT_EQ(node.host.launches.at(0).executor, 1);
+  node.policy.executors[0].unstarted_at_load = 4;
+  node.policy.executors[1].open_cost = 3;
+  node.arrive(1, 0);
+  EXPECT_EQ(node.host.launches.at(1).executor, 0);
 }
 
 // --- Health ---
