--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -418,5 +418,17 @@
   EXPECT_GT(picks_of(node, 0, 100), 0);
 }
 
+// A launch that is taken back closes its connection; counting it as free would hide the price of the next one.
+TEST(Connections, OneThatEndsWithoutAnAnswerIsGone) {
+  Settings settings = small_settings();
+  settings.connection_idle = 10 * kSecond;
+  for (const Outcome outcome : {Outcome::kSatisfied, Outcome::kCancelled}) {
+    Node node(1, settings);
+    node.arrive(0, 0);
+    node.policy.launch_ended(kNow + 100, 0, 0, outcome, 100, true, nullptr);
+    EXPECT_EQ(node.policy.executors[0].connections, outcome == Outcome::kSatisfied ? 1 : 0);
+  }
+}
+
 }  // namespace
 }  // namespace canvasstage
