--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -245,8 +245,8 @@
     const int i = from[at];
     Executor& executor = executors[i];
     at = at + 1 < from.size() ? at + 1 : 0;
-    if (executor.standing == Standing::kReady && (!connected_only || connected(now, executor)) &&
-        has_room(executor) && begins_by(now, executor, latest) && may_launch(now, submission, i) &&
+    if ((!connected_only || connected(now, executor)) && has_room(executor) &&
+        begins_by(now, executor, latest) && may_launch(now, submission, i) &&
         (!ask_health || (!tried(submission, i) && !doubted(now, executor))))
       ready_.push_back(i);
   }
@@ -262,12 +262,10 @@
   if (ready_.empty()) find_ready(now, submission, false, false);
   if (ready_.empty()) return -1;
   const double work = cost(submission);
-  const double mean = mean_speed();
-  const auto speed_of = [&](const Executor& e) { return e.latency > 0 ? e.work / e.latency : mean; };
   double sum = 0;
   chances_.clear();
   for (const int i : ready_) {
-    const double p = work / speed_of(executors[i]);
+    const double p = work / speed(executors[i]);
     chances_.push_back(work / (p + seconds(delay(executors[i]))));
     sum += chances_.back();
   }
@@ -285,7 +283,7 @@
       if (at < 0) break;
     }
     Executor& executor = executors[ready_[drawn]];
-    const double v = speed_of(executor);
+    const double v = speed(executor);
     double queued = executor.open_cost / v;
     if (executor.load.waiting >= 0)
       queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
