--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -615,6 +615,7 @@
 void Policy::further(Time now, int index) {
   Submission& submission = submissions[index];
   const bool pending = pending_launches(submission) > 0;
+  const Time eaten = last_start(submission, kNearlyEaten);
   bool stuck = true;
   Time next = kNever;
   for (std::size_t i = 0; i < submission.launches.size(); ++i) {
@@ -631,8 +632,7 @@
     } else if (launch.began >= 0 && settings_.progress_every > 0) {
       patience = progress_patience();
     }
-    if (launch.began < 0 && last_start(submission, kNearlyEaten) > now)
-      next = std::min(next, last_start(submission, kNearlyEaten));
+    if (launch.began < 0 && eaten > now) next = std::min(next, eaten);
     if (patience == kNever) {
       stuck = false;
     } else if (now - launch.heard < patience) {
@@ -647,12 +647,12 @@
   // Where many nodes queue at the executors none holds anything: what waits there, unblamed, is held too.
   const bool queued = std::any_of(submission.launches.begin(), submission.launches.end(),
                                   [](const Launch& launch) { return launch.pending && !launch.blamed; });
-  if (!begun && queued && settings_.tells_start && now >= last_start(submission, kNearlyEaten)) {
-    overload_seen_ = now;
-    if (!submission.waited_long) waited_.add(now, kHealthLife, 1);
-    submission.waited_long = true;
-  }
   if (!begun && settings_.tells_start) {
+    if (queued && now >= eaten) {
+      overload_seen_ = now;
+      if (!submission.waited_long) waited_.add(now, kHealthLife, 1);
+      submission.waited_long = true;
+    }
     const Time until = keep_until(now, submission);
     if (now >= until) return end(now, index, true);
     next = std::min(next, until);
@@ -734,14 +734,14 @@
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
   close_launch(now, submission, launch);
-  // One that ends without an answer takes its connection with it.
-  if (settings_.streams == 1 && outcome != Outcome::kSatisfied && outcome != Outcome::kErrored &&
-      outcome != Outcome::kTurnedAway)
-    executors[launch.executor].connections = std::max(0, executors[launch.executor].connections - 1);
-  executors[launch.executor].used = now;
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
   Executor& executor = executors[launch.executor];
+  executor.used = now;
+  // One that ends without an answer takes its connection with it.
+  if (settings_.streams == 1 && outcome != Outcome::kSatisfied && outcome != Outcome::kErrored &&
+      outcome != Outcome::kTurnedAway)
+    executor.connections = std::max(0, executor.connections - 1);
   take_load(now, executor, load);
   switch (outcome) {
     case Outcome::kSatisfied: {
@@ -749,14 +749,13 @@
       heard_from(now, executor, latency);
       const double took = std::max(1e-4, seconds(latency));
       const double mean = mean_speed();
+      count_speed(executor, -1);
       if (executor.latency <= 0) {
         executor.work = launch.cost;
         executor.latency = launch.cost / mean;
-        count_speed(executor, 1);
       }
       const double run = launch.began >= 0 ? std::max(1e-4, seconds(now - launch.began)) : took;
       const double work = run * executor.work / executor.latency / mean;
-      count_speed(executor, -1);
       executor.work += kSpeedWeight * (launch.cost - executor.work);
       executor.latency += kSpeedWeight * (took - executor.latency);
       count_speed(executor, 1);
