--- /dev/null
+++ b/src/core/effects.h
@@ -0,0 +1,41 @@
+// What the core asks of the world. Called at once, from the reducer's thread, and never blocks.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "policy.h"
+
+namespace canvasstage {
+
+// A client connection or a launch. Never given twice, so that what comes late of one that is over finds
+// nothing.
+using Id = std::uint64_t;
+
+// What a client handed in or an executor gave back. The core passes it on and never looks inside.
+struct Parcel {
+  virtual ~Parcel() = default;
+};
+using ParcelRef = std::shared_ptr<const Parcel>;
+
+enum class Answer { kSatisfied, kPushedBack, kAborted };
+
+class Effects {
+ public:
+  virtual ~Effects() = default;
+  // The final answer of the submission that the client has open; `last`: the connection ends with it.
+  virtual void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) = 0;
+  virtual void close_client(Id client) = 0;
+  // Over the connection that the launch `over` used and left free; 0: over a new one. An `over` is used up.
+  virtual void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
+                      Time give_up_at) = 0;
+  // Gives up a launch, or closes the free connection that it left.
+  virtual void give_up(Id launch) = 0;
+  virtual void watch_roster(std::uint64_t from_version) = 0;
+  virtual void wake_at(Time when, std::uint64_t token) = 0;
+  virtual void close_listener() = 0;
+  virtual void finish() = 0;
+};
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/core/node.cpp
@@ -0,0 +1,319 @@
+#include "core/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace canvasstage {
+namespace {
+
+// The module's tokens leave the two uppermost bits free.
+constexpr std::uint64_t kLaunchToken = std::uint64_t{1} << 63;
+constexpr std::uint64_t kOwnToken = std::uint64_t{1} << 62;
+constexpr std::uint64_t kTickToken = kOwnToken;
+constexpr std::uint64_t kListenerToken = kOwnToken + 1;
+constexpr std::uint64_t kStopToken = kOwnToken + 2;
+
+// Descriptors that are no connection: standard streams, listener, discovery, and those of a burst that the
+// listener accepts while the reducer still makes room.
+constexpr int kReserved = 48;
+// Free connections are looked over this often; small beside any idle time that a platform sets.
+constexpr Time kTick = kSecond;
+// The platform kills no sooner than its longest hard limit, 3 s at most, and 0.7 s after asking us to stop.
+constexpr Time kStopWithin = 3 * kSecond;
+constexpr Time kLastAnswers = kSecond / 2;
+// Connections go on coming for 0.4 s after that.
+constexpr Time kListenOn = kSecond * 45 / 100;
+
+}  // namespace
+
+Node::Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now)
+    : terms_(std::move(terms)),
+      effects_(effects),
+      now_(now),
+      most_descriptors_(std::max(4, descriptors - kReserved)),
+      // The executor closes at its idle time at the latest, and clocks and wires are late.
+      link_idle_(settings.connection_idle * 3 / 4),
+      policy_(std::move(settings), *this, seed, now) {
+  effects_.wake_at(now + kTick, kTickToken);
+}
+
+// --- Clients ---
+
+void Node::client_opened(Time now, Id client) {
+  now_ = now;
+  clients_[client].idle_since = now;
+  make_room(client);
+}
+
+void Node::client_closed(Time now, Id client) {
+  now_ = now;
+  const auto found = clients_.find(client);
+  if (found == clients_.end()) return;
+  const int submission = found->second.submission;
+  clients_.erase(found);
+  if (submission >= 0) {
+    entries_[submission].ended = true;
+    policy_.client_left(now, submission);
+    release_if_over(submission);
+  }
+  finish_if_done();
+}
+
+void Node::submission_arrived(Time now, Id client, int use_case, Time due, double hint, int width,
+                              ParcelRef submission) {
+  now_ = now;
+  const auto found = clients_.find(client);
+  if (found == clients_.end() || found->second.submission >= 0) return;
+  if (found->second.refused) return effects_.answer(client, Answer::kPushedBack, nullptr, 0, true);
+  int index = static_cast<int>(entries_.size());
+  if (unused_.empty()) {
+    entries_.emplace_back();
+  } else {
+    index = unused_.back();
+    unused_.pop_back();
+  }
+  found->second.submission = index;
+  Entry& entry = entries_[index];
+  entry.client = client;
+  entry.parcel = std::move(submission);
+  entry.launches.clear();
+  entry.pending = 0;
+  entry.ended = false;
+  policy_.submission_arrived(now, index, use_case, std::min(due, stop_by_), hint, width);
+  release_if_over(index);
+}
+
+void Node::answer(int submission, Answer answer, const ParcelRef& result, Time stay_away) {
+  Entry& entry = entries_[submission];
+  if (entry.ended) return;
+  entry.ended = true;
+  Client& client = clients_.at(entry.client);
+  client.submission = -1;
+  client.idle_since = now_;
+  effects_.answer(entry.client, answer, result, stay_away, stop_by_ != kNever);
+}
+
+void Node::release_if_over(int submission) {
+  Entry& entry = entries_[submission];
+  if (!entry.ended || entry.pending > 0 || entry.client == 0) return;
+  entry.client = 0;
+  entry.parcel.reset();
+  unused_.push_back(submission);
+}
+
+// --- Descriptors ---
+
+// Clients hold at most half, so that what was taken can still be served. What is idle longest goes first.
+void Node::make_room(Id newest) {
+  if (static_cast<int>(clients_.size()) > most_descriptors_ / 2 && !close_longest_idle_client())
+    clients_.at(newest).refused = true;
+  while (descriptors_used() > most_descriptors_ && close_longest_free_link()) {
+  }
+}
+
+bool Node::close_longest_idle_client() {
+  auto longest = clients_.end();
+  for (auto client = clients_.begin(); client != clients_.end(); ++client)
+    if (client->second.submission < 0 && client->second.idle_since < now_ &&
+        (longest == clients_.end() || client->second.idle_since < longest->second.idle_since))
+      longest = client;
+  if (longest == clients_.end()) return false;
+  longest->second.idle_since = now_;  // it is on its way out; the next one is another
+  effects_.close_client(longest->first);
+  return true;
+}
+
+bool Node::close_longest_free_link() {
+  Place* longest = nullptr;
+  for (Place& place : places_)
+    if (!place.free.empty() && (longest == nullptr || place.free.front().since < longest->free.front().since))
+      longest = &place;
+  if (longest == nullptr) return false;
+  effects_.give_up(longest->free.front().launch);
+  longest->free.pop_front();
+  --links_;
+  return true;
+}
+
+void Node::close_free_links(int executor) {
+  for (const FreeLink& link : places_[executor].free) {
+    effects_.give_up(link.launch);
+    --links_;
+  }
+  places_[executor].free.clear();
+}
+
+// --- Launches ---
+
+void Node::launch(int submission, int executor, Time give_up_at) {
+  const Id id = ++last_launch_;
+  Entry& entry = entries_[submission];
+  Place& place = places_[executor];
+  Running& running =
+      running_.emplace(id, Running{submission, static_cast<int>(entry.launches.size()), executor})
+          .first->second;
+  entry.launches.push_back(id);
+  ++entry.pending;
+  Id over = 0;
+  if (!place.free.empty()) {
+    over = place.free.back().launch;
+    place.free.pop_back();
+  } else if (descriptors_used() < most_descriptors_ || close_longest_free_link()) {
+    ++links_;
+  } else {
+    // No descriptor is left. A short pause, so that the module's next try does not come at once.
+    constexpr Time kPause = kSecond / 50;
+    running.unsent = true;
+    return effects_.wake_at(now_ + kPause, kLaunchToken | id);
+  }
+  effects_.launch(id, over, place.address, entry.parcel, give_up_at);
+  effects_.wake_at(give_up_at, kLaunchToken | id);
+}
+
+void Node::cancel(int submission, int launch) {
+  const Id id = entries_[submission].launches[launch];
+  const auto found = running_.find(id);
+  if (found == running_.end() || found->second.cancelled || found->second.unsent) return;
+  found->second.cancelled = true;
+  effects_.give_up(id);
+}
+
+void Node::push_back(int submission, Time stay_away) {
+  answer(submission, Answer::kPushedBack, nullptr, stay_away);
+}
+
+void Node::abort(int submission) {
+  answer(submission, Answer::kAborted, nullptr, 0);
+}
+
+void Node::launch_timer_due(Time now, Id launch) {
+  const auto found = running_.find(launch);
+  if (found == running_.end()) return;
+  if (found->second.unsent) return launch_ended(now, launch, Outcome::kUnsent, nullptr, false, nullptr);
+  if (found->second.cancelled || found->second.expired) return;
+  found->second.expired = true;
+  effects_.give_up(launch);
+}
+
+void Node::launch_started(Time now, Id launch) {
+  now_ = now;
+  const auto found = running_.find(launch);
+  if (found == running_.end()) return;
+  policy_.launch_started(now, found->second.submission, found->second.number);
+}
+
+void Node::launch_progressed(Time now, Id launch, double share_done) {
+  now_ = now;
+  const auto found = running_.find(launch);
+  if (found == running_.end()) return;
+  policy_.launch_progressed(now, found->second.submission, found->second.number, share_done);
+}
+
+void Node::launch_ended(Time now, Id launch, Outcome outcome, ParcelRef result, bool kept, const Load* load) {
+  now_ = now;
+  const auto found = running_.find(launch);
+  if (found == running_.end()) return;
+  const Running running = found->second;
+  running_.erase(found);
+  // One that we gave up ends as a broken connection; what came before that still counts.
+  if (outcome == Outcome::kBroken && running.cancelled) outcome = Outcome::kCancelled;
+  if (outcome == Outcome::kBroken && running.expired) outcome = Outcome::kTimedOut;
+  if (kept && !running.cancelled && !running.expired)
+    places_[running.executor].free.push_back({launch, now});
+  else if (!running.unsent)
+    --links_;
+  Entry& entry = entries_[running.submission];
+  --entry.pending;
+  if (outcome == Outcome::kSatisfied) answer(running.submission, Answer::kSatisfied, result, 0);
+  const Time sent = policy_.submissions[running.submission].launches[running.number].sent;
+  policy_.launch_ended(now, running.submission, running.number, outcome, now - sent, entry.ended, load);
+  release_if_over(running.submission);
+}
+
+// --- The roster ---
+
+void Node::executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
+                           std::string_view kind, int cell, Standing standing, Time started) {
+  now_ = now;
+  const auto [found, added] = executor_indices_.try_emplace(std::string(id), static_cast<int>(places_.size()));
+  const int index = found->second;
+  if (added) places_.emplace_back();
+  Place& place = places_[index];
+  const bool restarted = !added && started > policy_.executors[index].started;
+  if (standing == Standing::kGone || restarted || place.address != address) close_free_links(index);
+  place.address = address;
+  policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind), cell,
+                          standing, started);
+}
+
+void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
+  now_ = now;
+  roster_version_ = version;
+  policy_.roster_arrived(now, form);
+}
+
+void Node::roster_refused(Time now) {
+  now_ = now;
+  policy_.roster_refused(now);
+}
+
+void Node::subscribe() {
+  effects_.watch_roster(roster_version_);
+}
+
+// --- Time ---
+
+void Node::wake_at(Time when, std::uint64_t token) {
+  effects_.wake_at(when, token);
+}
+
+void Node::timer_due(Time now, std::uint64_t token) {
+  now_ = now;
+  if ((token & kLaunchToken) != 0) return launch_timer_due(now, token & ~kLaunchToken);
+  if ((token & kOwnToken) == 0) return policy_.timer_due(now, token);
+  if (token == kTickToken) return tick(now);
+  if (token == kStopToken && !finished_) {
+    finished_ = true;
+    effects_.finish();
+  }
+  if (token == kListenerToken) effects_.close_listener();
+}
+
+void Node::listener_closed(Time now) {
+  now_ = now;
+  listener_closed_ = true;
+  while (close_longest_idle_client()) {
+  }
+  finish_if_done();
+}
+
+void Node::tick(Time now) {
+  for (Place& place : places_)
+    while (!place.free.empty() && now - place.free.front().since >= link_idle_) {
+      effects_.give_up(place.free.front().launch);
+      place.free.pop_front();
+      --links_;
+    }
+  effects_.wake_at(now + kTick, kTickToken);
+}
+
+void Node::stop(Time now) {
+  if (stop_by_ != kNever) return;
+  now_ = now;
+  stop_by_ = now + std::min(kStopWithin, terms_.longest_hard_limit);
+  for (std::size_t i = 0; i < entries_.size(); ++i)
+    if (!entries_[i].ended) policy_.hurry(now, static_cast<int>(i), stop_by_);
+  for (const auto& [id, running] : running_) effects_.wake_at(stop_by_, kLaunchToken | id);
+  while (close_longest_idle_client()) {
+  }
+  effects_.wake_at(now + kListenOn, kListenerToken);
+  effects_.wake_at(stop_by_ + kLastAnswers, kStopToken);
+}
+
+void Node::finish_if_done() {
+  if (!listener_closed_ || finished_ || !clients_.empty()) return;
+  finished_ = true;
+  effects_.finish();
+}
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/core/node.h
@@ -0,0 +1,114 @@
+// One node without I/O: the ids of its submissions, launches and executors, its connections by number, and the
+// module that decides for it. Runs on one thread; one method for each thing that can happen.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/effects.h"
+#include "core/settings.h"
+#include "policy.h"
+
+namespace canvasstage {
+
+class Node final : public Host {
+ public:
+  Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now);
+
+  void client_opened(Time now, Id client);
+  // Whatever it has open is given up: the client has gone away.
+  void client_closed(Time now, Id client);
+  // `due` counts from the client's sending; `use_case` is an index of the settings.
+  void submission_arrived(Time now, Id client, int use_case, Time due, double hint, int width,
+                          ParcelRef submission);
+
+  void launch_started(Time now, Id launch);
+  void launch_progressed(Time now, Id launch, double share_done);
+  // `kept`: its connection can carry another.
+  void launch_ended(Time now, Id launch, Outcome outcome, ParcelRef result, bool kept, const Load* load);
+
+  // The roster: one call for each entry, then one that closes the list.
+  void executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
+                       std::string_view kind, int cell, Standing standing, Time started);
+  void roster_arrived(Time now, RosterForm form, std::uint64_t version);
+  void roster_refused(Time now);
+
+  void timer_due(Time now, std::uint64_t token);
+  // Nothing more can connect.
+  void listener_closed(Time now);
+  // The platform wants the node to end: finish what is open, take what still comes, then stop.
+  void stop(Time now);
+
+  const Terms& terms() const { return terms_; }
+  const Policy& policy() const { return policy_; }
+  int descriptors_used() const { return static_cast<int>(clients_.size()) + links_; }
+
+  void launch(int submission, int executor, Time give_up_at) override;
+  void push_back(int submission, Time stay_away) override;
+  void abort(int submission) override;
+  void cancel(int submission, int launch) override;
+  void subscribe() override;
+  void wake_at(Time when, std::uint64_t token) override;
+
+ private:
+  // The index is used again once the submission has its answer and every launch of it has ended.
+  struct Entry {
+    Id client = 0;
+    ParcelRef parcel;
+    std::vector<Id> launches;
+    int pending = 0;
+    bool ended = true;
+  };
+  struct Client {
+    int submission = -1;
+    Time idle_since = 0;
+    bool refused = false;  // one too many: what it hands in is pushed back unseen
+  };
+  struct Running {
+    int submission, number, executor;
+    bool cancelled = false, expired = false, unsent = false;
+  };
+  struct FreeLink {
+    Id launch;
+    Time since;
+  };
+  struct Place {
+    std::string address;
+    std::deque<FreeLink> free;  // the one used last at the back
+  };
+
+  void answer(int submission, Answer answer, const ParcelRef& result, Time stay_away);
+  void release_if_over(int submission);
+  void close_free_links(int executor);
+  bool close_longest_free_link();
+  bool close_longest_idle_client();
+  void make_room(Id newest);
+  void launch_timer_due(Time now, Id launch);
+  void tick(Time now);
+  void finish_if_done();
+
+  Terms terms_;
+  Effects& effects_;
+  Time now_;  // of the event that is being handled
+  int most_descriptors_;
+  Time link_idle_;
+  std::map<Id, Client> clients_;
+  std::map<Id, Running> running_;
+  std::unordered_map<std::string, int> executor_indices_;
+  std::vector<Place> places_;  // by executor
+  std::vector<Entry> entries_;
+  std::vector<int> unused_;
+  int links_ = 0;  // executor connections, busy or free
+  Id last_launch_ = 0;
+  std::uint64_t roster_version_ = 0;
+  Time stop_by_ = kNever;
+  bool listener_closed_ = false, finished_ = false;
+  Policy policy_;
+};
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/core/settings.cpp
@@ -0,0 +1,142 @@
+#include "core/settings.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace canvasstage {
+namespace {
+
+bool flag(const JsonValue& object, const char* key) {
+  const JsonValue& value = member(object, key);
+  return value.IsBool() && value.GetBool();
+}
+
+double setting(const JsonValue& object, const char* key, double otherwise) {
+  return number_or(member(object, key), otherwise, key);
+}
+
+void read_names(const JsonValue& list, const char* key, std::vector<std::string>& names) {
+  if (list.IsNull()) return;
+  if (!list.IsArray()) bad(std::string(key) + ": a list is needed");
+  for (const JsonValue& name : list.GetArray()) names.emplace_back(text(name, key));
+}
+
+UseCase decode_use_case(const JsonValue& from, const JsonValue& domain, rapidjson::SizeType i) {
+  const JsonValue& stretch = member(domain, "classStretch");
+  const JsonValue& kind = member(domain, "classKind");
+  UseCase u;
+  u.agreed_time = to_time(number(needed(from, "agreedTime"), "agreedTime"));
+  u.stretch = setting(from, "aimStretch", 0);
+  if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
+  if (kind.IsArray() && i < kind.Size())
+    u.machine_kind = static_cast<int>(number(kind[i], "domain.classKind"));
+  u.billing_value = setting(from, "billingValue", 1);
+  u.overdue_value = setting(from, "overdueBillingValue", 0);
+  const std::string_view effect = text(needed(from, "semantics"), "semantics");
+  u.effect = effect == "free"      ? Effect::kReplayable
+             : effect == "guarded" ? Effect::kReferenced
+                                   : Effect::kSingleUse;
+  const JsonValue& group = member(from, "group");
+  if (group.IsString()) {
+    const std::string_view name = text(group, "group");
+    u.group = name == "all" ? Group::kAll : name == "zone" ? Group::kZone : Group::kCell;
+  } else if (u.effect == Effect::kReferenced) {
+    bad("bootInfo: group is missing");
+  }
+  u.window = to_time(setting(from, "window", 0));
+  return u;
+}
+
+}  // namespace
+
+void bad(const std::string& what) {
+  throw BadInput(what);
+}
+
+double number(const JsonValue& value, const char* field) {
+  if (!value.IsNumber()) bad(std::string(field) + ": a number is needed");
+  return value.GetDouble();
+}
+
+double number_or(const JsonValue& value, double otherwise, const char* field) {
+  return value.IsNull() ? otherwise : number(value, field);
+}
+
+std::uint64_t whole(const JsonValue& value, const char* field) {
+  if (!value.IsUint64()) bad(std::string(field) + ": a whole number is needed");
+  return value.GetUint64();
+}
+
+std::string_view text(const JsonValue& value, const char* field) {
+  if (!value.IsString()) bad(std::string(field) + ": a string is needed");
+  return {value.GetString(), value.GetStringLength()};
+}
+
+const JsonValue& member(const JsonValue& object, const char* key) {
+  static const JsonValue kNull;
+  if (!object.IsObject()) return kNull;
+  const auto found = object.FindMember(key);
+  return found == object.MemberEnd() ? kNull : found->value;
+}
+
+const JsonValue& needed(const JsonValue& object, const char* key) {
+  const JsonValue& value = member(object, key);
+  if (value.IsNull()) bad(std::string("bootInfo: ") + key + " is missing");
+  return value;
+}
+
+int index_of(const std::vector<std::string>& names, std::string_view name) {
+  for (std::size_t i = 0; i < names.size(); ++i)
+    if (names[i] == name) return static_cast<int>(i);
+  return -1;
+}
+
+// The nudge undoes the binary fraction.
+Time to_time(double seconds) {
+  const double units = seconds * kSecond + 1e-4;
+  return units > static_cast<double>(kNever) ? kNever : static_cast<Time>(std::floor(units));
+}
+
+Settings decode_settings(const JsonValue& settings, Terms& terms) {
+  if (!settings.IsObject()) bad("bootInfo: an object is needed");
+  read_names(member(settings, "zones"), "zones", terms.zones);
+  read_names(member(settings, "shapes"), "shapes", terms.machine_kinds);
+  read_names(member(member(settings, "report"), "fields"), "report.fields", terms.report_fields);
+  Settings s;
+  const JsonValue& domain = member(settings, "domain");
+  const JsonValue& cases = needed(settings, "useCases");
+  if (!cases.IsArray() || cases.Empty()) bad("useCases: a list is needed");
+  for (rapidjson::SizeType i = 0; i < cases.Size(); ++i) {
+    terms.use_cases.emplace_back(text(needed(cases[i], "name"), "useCases.name"));
+    terms.longest_hard_limit =
+        std::max(terms.longest_hard_limit, to_time(setting(cases[i], "hardLimit", 0)));
+    s.use_cases.push_back(decode_use_case(cases[i], domain, i));
+  }
+  const JsonValue& locality = member(settings, "locality");
+  if (locality.IsString()) s.zone = index_of(terms.zones, text(locality, "locality"));
+  s.replicas = static_cast<int>(number(needed(settings, "replicasOfMe"), "replicasOfMe"));
+  s.quantum = to_time(setting(settings, "quantum", 0.001));
+  const JsonValue& mode = member(settings, "membershipMode");
+  s.ask_for_roster = mode.IsString() && text(mode, "membershipMode") == "ask";
+  const JsonValue& caps = needed(settings, "caps");
+  s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
+  s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
+  s.connection_idle = to_time(setting(caps, "connIdle", 0));
+  terms.connect_within = to_time(setting(caps, "connectTimeout", 1));
+  s.connections_cost = setting(member(settings, "prices"), "handshake", 0) > 0;
+  s.second_copies = flag(caps, "secondCopies");
+  s.cancelling = flag(caps, "cancelling");
+  if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
+  s.tells_start = flag(domain, "tellsStart");
+  s.progress_every = to_time(setting(domain, "progress", 0));
+  const JsonValue& rules = needed(settings, "guarantees");
+  s.ask_within = to_time(setting(rules, "askWithin", 1e9));
+  terms.drain_grace = to_time(setting(rules, "drainGrace", 1));
+  s.cold_from = setting(rules, "coldFrom", 1);
+  s.warm_up = to_time(setting(rules, "warmUp", 0));
+  s.fall_multiple = setting(rules, "fallMultiple", 1);
+  s.fall_span = to_time(setting(rules, "overloadFor", 1));
+  return s;
+}
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/core/settings.h
@@ -0,0 +1,46 @@
+// The settings as the platform words them, decoded once; the simulator's adapter and the real node share it.
+#pragma once
+
+#include <rapidjson/document.h>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "policy.h"
+
+namespace canvasstage {
+
+// Input that cannot be read; the message names the field.
+struct BadInput : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+using JsonValue = rapidjson::Value;
+
+[[noreturn]] void bad(const std::string& what);
+double number(const JsonValue& value, const char* field);
+double number_or(const JsonValue& value, double otherwise, const char* field);
+std::uint64_t whole(const JsonValue& value, const char* field);
+std::string_view text(const JsonValue& value, const char* field);
+// An object's member, or null where it is absent.
+const JsonValue& member(const JsonValue& object, const char* key);
+const JsonValue& needed(const JsonValue& object, const char* key);
+// The place of a name among those that the settings list; -1: none.
+int index_of(const std::vector<std::string>& names, std::string_view name);
+// Rounded down, so that a deadline is never taken for later than it is.
+Time to_time(double seconds);
+
+// What the settings name or fix beside what the module reads.
+struct Terms {
+  std::vector<std::string> zones, machine_kinds, use_cases, report_fields;
+  Time longest_hard_limit = 0;
+  Time connect_within = kSecond;
+  Time drain_grace = kSecond;
+};
+
+Settings decode_settings(const JsonValue& settings, Terms& terms);
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/net/buffer_pool.cpp
@@ -0,0 +1,34 @@
+#include "net/buffer_pool.h"
+
+#include <utility>
+
+namespace canvasstage::net {
+
+Buffer& Buffer::operator=(Buffer&& other) noexcept {
+  std::swap(bytes_, other.bytes_);
+  std::swap(pool_, other.pool_);
+  return *this;
+}
+
+Buffer::~Buffer() {
+  if (bytes_) pool_->give_back(std::move(bytes_));
+}
+
+Buffer BufferPool::take(std::size_t spare) {
+  const std::lock_guard lock(mutex_);
+  if (out_ + spare >= most_) return {};
+  ++out_;
+  // Not zeroed: the system gives pages as they are written, and most messages are small.
+  if (free_.empty()) return {std::unique_ptr<char[]>(new char[Buffer::kSize]), *this};
+  Buffer buffer(std::move(free_.back()), *this);
+  free_.pop_back();
+  return buffer;
+}
+
+void BufferPool::give_back(std::unique_ptr<char[]> bytes) {
+  const std::lock_guard lock(mutex_);
+  --out_;
+  free_.push_back(std::move(bytes));
+}
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/buffer_pool.h
@@ -0,0 +1,48 @@
+// Buffers of one size, used again. An idle connection holds none.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "http/parser.h"
+
+namespace canvasstage::net {
+
+class BufferPool;
+
+// Goes back to its pool by itself. Empty where the pool had none left.
+class Buffer {
+ public:
+  static constexpr std::size_t kSize = http::kMostHead + http::kMostBody;
+  Buffer() = default;
+  Buffer(std::unique_ptr<char[]> bytes, BufferPool& pool) : bytes_(std::move(bytes)), pool_(&pool) {}
+  Buffer(Buffer&&) = default;
+  Buffer& operator=(Buffer&& other) noexcept;
+  ~Buffer();
+  explicit operator bool() const { return bytes_ != nullptr; }
+  char* data() const { return bytes_.get(); }
+
+ private:
+  std::unique_ptr<char[]> bytes_;
+  BufferPool* pool_ = nullptr;
+};
+
+class BufferPool {
+ public:
+  explicit BufferPool(std::size_t most) : most_(most) {}
+  // `spare`: as many must be left for others.
+  Buffer take(std::size_t spare = 0);
+  std::size_t most() const { return most_; }
+
+ private:
+  friend class Buffer;
+  void give_back(std::unique_ptr<char[]> bytes);
+
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<char[]>> free_;
+  std::size_t most_, out_ = 0;
+};
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/client.cpp
@@ -0,0 +1,300 @@
+#include "net/client.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "http/writer.h"
+
+namespace canvasstage::net {
+namespace {
+
+// How often a thread that waits for bytes looks up, and how long a client may take for one submission or to
+// close after the last answer.
+constexpr Milliseconds kLookUp{1000};
+constexpr Time kMostReading = 10 * kSecond;
+constexpr Time kLinger = kSecond;
+// A client that takes nothing for this long has lost its answer.
+constexpr Milliseconds kMostSending{1000};
+
+// A whole number and a unit, m or u; false: it is neither.
+bool read_time_left(std::string_view text, Time& left) {
+  if (text.size() < 2) return false;
+  const char unit = text.back();
+  std::uint64_t value = 0;
+  if ((unit != 'm' && unit != 'u') || !http::read_number(text.substr(0, text.size() - 1), value)) return false;
+  constexpr std::uint64_t kMost = std::uint64_t{1} << 40;
+  if (value > kMost) return false;
+  left = unit == 'm' ? static_cast<Time>(value) * (kSecond / 1000)
+                     : static_cast<Time>(value) / (1000000 / kSecond);
+  return true;
+}
+
+// One of the figures in `name=value,name=value`.
+double fact(std::string_view facts, std::string_view name, double otherwise) {
+  while (!facts.empty()) {
+    const std::size_t comma = std::min(facts.find(','), facts.size());
+    const std::string_view one = facts.substr(0, comma);
+    facts.remove_prefix(std::min(comma + 1, facts.size()));
+    const std::size_t equals = one.find('=');
+    if (equals == std::string_view::npos || one.substr(0, equals) != name) continue;
+    const std::string value(one.substr(equals + 1));
+    char* end = nullptr;
+    const double number = std::strtod(value.c_str(), &end);
+    if (end != value.c_str()) return number;
+  }
+  return otherwise;
+}
+
+}  // namespace
+
+// --- Writers ---
+
+void Writers::start() {
+  // Two, so that one client that takes nothing does not keep the others waiting.
+  for (int i = 0; i < 2; ++i) start_thread([this] { run(); });
+}
+
+void Writers::write(std::shared_ptr<ClientConnection> client, std::string rest, bool last) {
+  const std::lock_guard lock(mutex_);
+  work_.push_back({std::move(client), std::move(rest), last});
+  added_.notify_one();
+}
+
+void Writers::stop() {
+  const std::lock_guard lock(mutex_);
+  stopped_ = true;
+  added_.notify_all();
+}
+
+void Writers::run() {
+  std::unique_lock lock(mutex_);
+  for (;;) {
+    added_.wait(lock, [this] { return stopped_ || !work_.empty(); });
+    if (work_.empty()) return;
+    const Work work = std::move(work_.front());
+    work_.pop_front();
+    lock.unlock();
+    work.client->write_rest(work.rest, work.last);
+    lock.lock();
+  }
+}
+
+// --- The reducer's and the writers' side ---
+
+ClientConnection::ClientConnection(Id id, Socket socket, std::string peer, World& world)
+    : id_(id), socket_(std::move(socket)), peer_(std::move(peer)), world_(world) {
+  socket_.limit_sending(kMostSending);
+  socket_.limit_reading(kLookUp);
+}
+
+void ClientConnection::answer(int status, std::string_view extra, const ParcelRef& result, bool last,
+                              Writers& writers) {
+  {
+    const std::lock_guard lock(mutex_);
+    last = last || !keep_alive_;
+  }
+  const std::string_view body = result ? static_cast<const Result&>(*result).text : std::string_view();
+  std::string head;
+  http::Writer writer(head);
+  writer.answer(status).field("Content-Length", std::to_string(body.size()));
+  if (last) writer.field("Connection", "close");
+  head.append(extra);
+  writer.end();
+  const long sent = socket_.write_some(head, body);
+  if (sent < 0) {
+    socket_.shut(SHUT_RDWR);
+    return answered(true);
+  }
+  const std::size_t done = static_cast<std::size_t>(sent);
+  if (done == head.size() + body.size()) return answered(last);
+  std::string rest(head.substr(std::min(done, head.size())));
+  rest.append(body.substr(done - std::min(done, head.size())));
+  writers.write(shared_from_this(), std::move(rest), last);
+}
+
+void ClientConnection::write_rest(std::string_view rest, bool last) {
+  const bool written = socket_.write(rest, {});
+  if (!written) socket_.shut(SHUT_RDWR);
+  answered(last || !written);
+}
+
+void ClientConnection::answered(bool last) {
+  if (last) socket_.shut(SHUT_WR);
+  const std::lock_guard lock(mutex_);
+  open_ = false;
+  last_ = last;
+  answered_.notify_all();
+}
+
+// What has already come is still read and answered.
+void ClientConnection::close_when_idle() {
+  const std::lock_guard lock(mutex_);
+  reading_shut_ = true;
+  socket_.shut(SHUT_RD);
+}
+
+void ClientConnection::shut() {
+  socket_.shut(SHUT_RDWR);
+}
+
+// --- The thread's side ---
+
+void ClientConnection::run() {
+  Reason reason = Reason::kPeerClosed;
+  while (serve_one(reason)) {
+  }
+  log_connection_end(Side::kClient, id_, peer_, reason);
+}
+
+bool ClientConnection::serve_one(Reason& reason) {
+  char first;
+  while (carry_.empty()) {
+    const long n = socket_.read(&first, 1, MSG_PEEK);
+    if (n > 0) break;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
+    const std::lock_guard lock(mutex_);
+    reason = reading_shut_ ? Reason::kIdle : n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+    return false;
+  }
+  auto submission = std::make_shared<Submitted>();
+  // Executors' connections need two buffers for each launch; clients leave them two thirds.
+  submission->buffer = world_.buffers.take(world_.buffers.most() * 2 / 3);
+  if (!submission->buffer) return reject(503, Reason::kNoRoom, reason);
+  const std::size_t carried = carry_.size();
+  std::memcpy(submission->buffer.data(), carry_.data(), carried);
+  carry_.clear();
+  return read_submission(submission, carried, reason) && hand_in(submission, reason);
+}
+
+bool ClientConnection::read_more(Submitted& submission, std::size_t& size, Reason& reason) {
+  const Time until = now() + kMostReading;
+  for (;;) {
+    const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
+    if (n > 0) {
+      size += static_cast<std::size_t>(n);
+      return true;
+    }
+    const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (waiting && now() < until) continue;
+    reason = waiting ? Reason::kSilent : n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+    return false;
+  }
+}
+
+bool ClientConnection::read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried,
+                                       Reason& reason) {
+  Submitted& s = *submission;
+  char* const data = s.buffer.data();
+  std::size_t size = carried;
+  http::Progress progress = http::Progress::kMore;
+  for (;;) {
+    if (size > 0) progress = s.head.read({data, size});
+    if (progress == http::Progress::kBad) return reject(400, Reason::kBadMessage, reason);
+    if (progress == http::Progress::kHeadTooLarge) return reject(431, Reason::kTooLarge, reason);
+    if (progress == http::Progress::kBodyTooLarge) return reject(413, Reason::kTooLarge, reason);
+    if (progress == http::Progress::kDone) break;
+    if (!read_more(s, size, reason)) return false;
+  }
+  const std::size_t start = s.head.size();
+  if (size == start && http::same_name(s.head.field("Expect"), "100-continue"))
+    socket_.write("HTTP/1.1 100 Continue\r\n\r\n", {});
+  http::BodyReader reader(s.head.framing, s.head.length);
+  std::size_t raw = start, content = start, taken = 0, written = 0;
+  for (;;) {
+    progress = reader.read(data + raw, size - raw, data + content, taken, written);
+    raw += taken;
+    content += written;
+    if (progress == http::Progress::kBad) return reject(400, Reason::kBadMessage, reason);
+    if (content - start > http::kMostBody) return reject(413, Reason::kTooLarge, reason);
+    if (progress == http::Progress::kDone) break;
+    size = raw = content;  // all that came is taken
+    if (size == Buffer::kSize) return reject(413, Reason::kTooLarge, reason);
+    if (!read_more(s, size, reason)) return false;
+  }
+  s.body = {data + start, content - start};
+  carry_.assign(data + raw, size - raw);
+  return true;
+}
+
+bool ClientConnection::hand_in(const std::shared_ptr<Submitted>& submission, Reason& reason) {
+  const Time came = now();
+  const http::Head& head = submission->head;
+  const std::string_view path = head.target.substr(0, head.target.find('?'));
+  keep_alive_ = head.keep_alive;
+  if (head.method == "GET" && path == "/healthz") {
+    std::string out;
+    http::Writer writer(out);
+    writer.answer(200);
+    if (!keep_alive_) writer.field("Connection", "close");
+    writer.body("");
+    if (!socket_.write(out, {})) return reason = Reason::kSendFailed, false;
+    if (!keep_alive_) linger();
+    reason = Reason::kAnsweredLast;
+    return keep_alive_;
+  }
+  if (head.method != "POST") return reject(405, Reason::kBadMessage, reason);
+  const std::string_view first = path.substr(1, std::min(path.find('/', 1), path.size()) - 1);
+  const int use_case = index_of(world_.terms.use_cases, first);
+  if (use_case < 0) return reject(404, Reason::kBadMessage, reason);
+  Time left = 0;
+  if (head.field("X-Correlation-Id").empty() || !read_time_left(head.field("X-Time-Left"), left))
+    return reject(400, Reason::kBadMessage, reason);
+  const std::string_view facts = head.field("X-Facts");
+  const double hint = fact(facts, "workHint", 0);
+  const int width = std::max(1, static_cast<int>(std::min(fact(facts, "slots", 1), 1e6)));
+  {
+    const std::lock_guard lock(mutex_);
+    open_ = true;
+  }
+  world_.reducer.post([&world = world_, id = id_, use_case, due = came + left, hint, width,
+                       parcel = ParcelRef(submission)](Time now) {
+    world.node->submission_arrived(now, id, use_case, due, hint, width, parcel);
+  });
+  return await_answer(reason);
+}
+
+// Stays in a read, so that a client that goes away is seen.
+bool ClientConnection::await_answer(Reason& reason) {
+  char byte;
+  for (;;) {
+    long n = carry_.empty() ? socket_.read(&byte, 1, MSG_PEEK) : 1;
+    const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    std::unique_lock lock(mutex_);
+    // More bytes, or our own end of reading: the answer comes first.
+    if (n > 0 || (n == 0 && reading_shut_)) answered_.wait(lock, [this] { return !open_; });
+    if (!open_ && last_) {
+      reason = Reason::kAnsweredLast;
+      lock.unlock();
+      linger();
+      return false;
+    }
+    if (!waiting && n <= 0) {
+      reason = open_ ? Reason::kLeftWhileOpen : reading_shut_ ? Reason::kIdle : Reason::kPeerClosed;
+      return false;
+    }
+    if (!open_) return true;
+  }
+}
+
+bool ClientConnection::reject(int status, Reason why, Reason& reason) {
+  std::string out;
+  http::Writer(out).answer(status).field("Connection", "close").body("");
+  socket_.write(out, {});
+  reason = why;
+  linger();
+  return false;
+}
+
+// Closing with unread bytes would destroy the answer: ends our side and reads on for a short while.
+void ClientConnection::linger() {
+  socket_.shut(SHUT_WR);
+  const Time until = now() + kLinger;
+  char rest[512];
+  while (now() < until && socket_.read(rest, sizeof rest) > 0) {
+  }
+}
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/client.h
@@ -0,0 +1,75 @@
+// Connections from clients. Each has a thread that reads; answers are written at once as far as the kernel
+// takes them, and the rest by a few writer threads.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "core/effects.h"
+#include "net/log.h"
+#include "net/socket.h"
+#include "net/world.h"
+
+namespace canvasstage::net {
+
+class ClientConnection;
+
+class Writers {
+ public:
+  void start();
+  void write(std::shared_ptr<ClientConnection> client, std::string rest, bool last);
+  void stop();
+
+ private:
+  struct Work {
+    std::shared_ptr<ClientConnection> client;
+    std::string rest;
+    bool last;
+  };
+  void run();
+  std::mutex mutex_;
+  std::condition_variable added_;
+  std::deque<Work> work_;  // one answer for each client at most
+  bool stopped_ = false;
+};
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(Id id, Socket socket, std::string peer, World& world);
+  Id id() const { return id_; }
+  void run();  // the thread's
+
+  // The reducer's.
+  void answer(int status, std::string_view extra, const ParcelRef& result, bool last, Writers& writers);
+  void close_when_idle();
+  void shut();
+
+  // A writer's.
+  void write_rest(std::string_view rest, bool last);
+
+ private:
+  bool serve_one(Reason& reason);
+  bool read_more(Submitted& submission, std::size_t& size, Reason& reason);
+  bool read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried, Reason& reason);
+  bool hand_in(const std::shared_ptr<Submitted>& submission, Reason& reason);
+  bool await_answer(Reason& reason);
+  bool reject(int status, Reason why, Reason& reason);
+  void linger();
+  void answered(bool last);
+
+  const Id id_;
+  const Socket socket_;
+  const std::string peer_;
+  World& world_;
+  std::string carry_;  // what came behind the submission that is open
+  bool keep_alive_ = true;
+  std::mutex mutex_;
+  std::condition_variable answered_;
+  bool open_ = false, last_ = false, reading_shut_ = false;
+};
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,153 @@
+#include "net/discovery.h"
+
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "http/writer.h"
+
+namespace canvasstage::net {
+namespace {
+
+// Discovery works through its calls in turn, and says so itself when one has waited too long; then an empty
+// line is due every 2 s. Twice that and a little is silence.
+constexpr Milliseconds kMostSilence{4500};
+constexpr Milliseconds kMostConnecting{1000};
+// The list of a fleet a hundred times larger than any we have seen.
+constexpr std::size_t kMostLine = 8 * 1024 * 1024;
+
+Standing standing_of(std::string_view lifecycle) {
+  return lifecycle == "active" ? Standing::kReady : lifecycle == "leaving" ? Standing::kDraining : Standing::kGone;
+}
+
+void check_entry(const JsonValue& entry) {
+  text(needed(entry, "instanceId"), "instanceId");
+  text(needed(entry, "lifecycle"), "lifecycle");
+  text(needed(entry, "hostPort"), "hostPort");
+  for (const char* const key : {"zone", "machineType"})
+    if (!member(entry, key).IsNull()) text(member(entry, key), key);
+  number_or(member(entry, "cell"), -1, "cell");
+  number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
+}
+
+std::string_view text_or_none(const JsonValue& value) {
+  return value.IsString() ? text(value, "") : std::string_view();
+}
+
+}  // namespace
+
+void take_list(Node& node, Time now, const JsonValue& list, bool remembered) {
+  const JsonValue& entries = needed(list, "instances");
+  if (!entries.IsArray()) bad("instances: a list is needed");
+  const std::uint64_t version = whole(needed(list, "generation"), "generation");
+  const JsonValue& reset = member(list, "reset");
+  for (const JsonValue& entry : entries.GetArray()) check_entry(entry);
+  for (const JsonValue& entry : entries.GetArray()) {
+    const double started = number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
+    node.executor_listed(now, text(entry["instanceId"], ""), text(entry["hostPort"], ""),
+                         text_or_none(member(entry, "zone")), text_or_none(member(entry, "machineType")),
+                         static_cast<int>(number_or(member(entry, "cell"), -1, "cell")),
+                         standing_of(text(entry["lifecycle"], "")), to_time(started / 1000));
+  }
+  const RosterForm form = remembered                          ? RosterForm::kRemembered
+                          : reset.IsBool() && reset.GetBool() ? RosterForm::kWhole
+                                                              : RosterForm::kChanges;
+  node.roster_arrived(now, form, version);
+}
+
+void Watch::give_up() {
+  given_up_ = true;
+  const std::lock_guard lock(mutex_);
+  socket_.shut(SHUT_RDWR);
+}
+
+void Watch::run() {
+  Reason reason = Reason::kUnreachable;
+  try {
+    reason = follow();
+  } catch (const std::runtime_error& failure) {
+    log_note(failure.what());
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    Socket closing;
+    std::swap(closing, socket_);
+  }
+  log_connection_end(Side::kDiscovery, from_version_, address_, given_up_ ? Reason::kGivenUp : reason);
+  world_.reducer.post([self = shared_from_this()](Time now) {
+    if (!self->given_up_) self->world_.node->roster_refused(now);
+  });
+}
+
+Reason Watch::follow() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (given_up_) return Reason::kGivenUp;
+    socket_ = new_socket();
+    socket_.limit_sending(kMostConnecting);
+    socket_.limit_reading(kMostSilence);
+  }
+  if (connect_to(socket_, address_) != 0) return Reason::kUnreachable;
+  std::string request;
+  http::Writer(request)
+      .request("GET", "/v1/servers?stream=1&index=" + std::to_string(from_version_))
+      .field("Host", address_)
+      .end();
+  if (!socket_.write(request, {})) return Reason::kSendFailed;
+  std::string bytes;  // the head, then what has come of a line
+  const auto read_more = [&] {
+    char part[4096];
+    const long n = socket_.read(part, sizeof part);
+    if (n > 0) bytes.append(part, static_cast<std::size_t>(n));
+    return n > 0 ? Reason::kPeerClosed
+                 : n == 0 ? Reason::kRefused : errno == EAGAIN ? Reason::kSilent : Reason::kPeerBroke;
+  };
+  http::Head head(http::Head::Kind::kAnswer);
+  for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
+    if (const Reason reason = read_more(); reason != Reason::kPeerClosed) return reason;
+    progress = head.read(bytes);
+    if (progress != http::Progress::kDone && progress != http::Progress::kMore) return Reason::kBadMessage;
+  }
+  if (head.status != 200) return Reason::kRefused;
+  http::BodyReader reader(head.framing, head.length);
+  bytes.erase(0, head.size());
+  std::size_t lines_end = 0;  // up to here `bytes` is content, behind it raw
+  for (;;) {
+    std::size_t taken = 0, written = 0;
+    const http::Progress progress = reader.read(bytes.data() + lines_end, bytes.size() - lines_end,
+                                                bytes.data() + lines_end, taken, written);
+    if (progress == http::Progress::kBad) return Reason::kBadMessage;
+    bytes.resize(lines_end + written);
+    std::size_t from = 0;
+    for (std::size_t end; (end = bytes.find('\n', from)) != std::string::npos; from = end + 1)
+      if (end - from > 1 && !take_line(std::string_view(bytes).substr(from, end - from)))
+        return Reason::kBadMessage;
+    bytes.erase(0, from);
+    if (progress == http::Progress::kDone) return Reason::kPeerClosed;
+    if (bytes.size() > kMostLine) return Reason::kTooLarge;
+    lines_end = bytes.size();
+    if (const Reason reason = read_more(); reason != Reason::kPeerClosed) return reason;
+  }
+}
+
+bool Watch::take_line(std::string_view line) {
+  const auto list = std::make_shared<rapidjson::Document>();
+  list->Parse(line.data(), line.size());
+  if (!list->IsObject()) {
+    log_note("discovery: a line that is no object");
+    return false;
+  }
+  world_.reducer.post([self = shared_from_this(), list](Time now) {
+    if (self->given_up_) return;
+    try {
+      take_list(*self->world_.node, now, *list, false);
+    } catch (const BadInput& input) {
+      log_note(std::string("discovery: ") + input.what());
+      self->give_up();
+      self->world_.node->roster_refused(now);
+    }
+  });
+  return true;
+}
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,38 @@
+// One watch on discovery: a call that stays open and tells of each change of the roster.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "net/log.h"
+#include "net/socket.h"
+#include "net/world.h"
+
+namespace canvasstage::net {
+
+class Watch : public std::enable_shared_from_this<Watch> {
+ public:
+  Watch(World& world, std::string address, std::uint64_t from_version)
+      : world_(world), address_(std::move(address)), from_version_(from_version) {}
+  void run();      // the thread's
+  void give_up();  // from then on it tells nothing
+
+ private:
+  Reason follow();
+  bool take_line(std::string_view line);
+
+  World& world_;
+  const std::string address_;
+  const std::uint64_t from_version_;
+  std::mutex mutex_;
+  Socket socket_;
+  std::atomic<bool> given_up_{false};
+};
+
+// A list in discovery's form, as it stands in a change and in the configuration. Throws BadInput before the
+// node has seen any of it.
+void take_list(Node& node, Time now, const JsonValue& list, bool remembered);
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/executor.cpp
@@ -0,0 +1,265 @@
+#include "net/executor.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "http/writer.h"
+
+namespace canvasstage::net {
+namespace {
+
+// A small message goes at once; a peer that takes nothing for this long is not there.
+constexpr Milliseconds kMostSending{1000};
+// Between the line that ends a job and the end of the answer there is nothing to wait for.
+constexpr Milliseconds kMostTail{200};
+
+double waiting_of(const JsonValue& load) {
+  const JsonValue& waiting = member(load, "backlog").IsNull() ? member(load, "queue") : member(load, "backlog");
+  return waiting.IsNumber() ? waiting.GetDouble() : -1;
+}
+
+double waiting_of(std::string_view header) {
+  for (const std::string_view name : {"backlog=", "queue="}) {
+    const std::size_t at = header.find(name);
+    if (at != std::string_view::npos && (at == 0 || header[at - 1] == ','))
+      return std::strtod(std::string(header.substr(at + name.size())).c_str(), nullptr);
+  }
+  return -1;
+}
+
+}  // namespace
+
+// --- The reducer's side ---
+
+void ExecutorConnection::launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at) {
+  const std::lock_guard lock(mutex_);
+  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), give_up_at};
+  changed_.notify_one();
+}
+
+void ExecutorConnection::give_up() {
+  const std::lock_guard lock(mutex_);
+  given_up_ = true;
+  socket_.shut(SHUT_RDWR);
+  changed_.notify_one();
+}
+
+// --- The thread's side ---
+
+void ExecutorConnection::run() {
+  for (;;) {
+    {
+      std::unique_lock lock(mutex_);
+      changed_.wait(lock, [this] { return given_up_ || next_; });
+      if (!next_) {
+        log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kIdle);
+        break;
+      }
+      work_ = std::move(*next_);
+      next_.reset();
+    }
+    Ending ending;
+    serve(ending);
+    work_.submission.reset();
+    if (!ending.kept) {
+      Socket closing;
+      bool given_up;
+      {
+        const std::lock_guard lock(mutex_);
+        std::swap(closing, socket_);
+        given_up = given_up_;
+      }
+      log_connection_end(Side::kExecutor, work_.id, work_.address, given_up ? Reason::kGivenUp : ending.reason);
+    }
+    if (!ending.told) tell_end(ending.outcome, nullptr, false, -1, ending);
+    if (!ending.kept) break;
+  }
+}
+
+void ExecutorConnection::tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting,
+                                  Ending& ending) {
+  ending.told = true;
+  ending.kept = kept;
+  world_.reducer.post([&world = world_, id = work_.id, outcome, result = std::move(result), kept, waiting](Time now) {
+    const Load load{waiting};
+    world.node->launch_ended(now, id, outcome, result, kept, waiting >= 0 ? &load : nullptr);
+  });
+}
+
+bool ExecutorConnection::stale() const {
+  char byte;
+  return socket_.read(&byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool ExecutorConnection::connect(Ending& ending) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (socket_.open() && !stale()) return true;
+    if (given_up_) {
+      ending.outcome = Outcome::kUnsent;
+      return false;
+    }
+    Socket old = std::exchange(socket_, new_socket());
+    if (old.open()) log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kPeerClosed);
+    socket_.limit_sending(connect_within_);
+  }
+  if (connect_to(socket_, work_.address) != 0) {
+    ending.outcome = Outcome::kUnreachable;
+    ending.reason = Reason::kUnreachable;
+    return false;
+  }
+  socket_.limit_sending(kMostSending);
+  return true;
+}
+
+// One that was given up while it waited is stopped here, before its first byte.
+bool ExecutorConnection::write(Ending& ending) {
+  const http::Head& head = work_.submission->head;
+  std::string out;
+  http::Writer writer(out);
+  const Time left = std::max<Time>(0, work_.give_up_at - now());
+  writer.request(head.method, head.target).field("Host", "backend.local");
+  for (const std::string_view name : {"X-Correlation-Id", "Idempotency-Key"})
+    if (head.has(name)) writer.field(name, head.field(name));
+  writer.field("X-Time-Left", std::to_string(left / (kSecond / 1000)) + "m")
+      .field("Content-Length", std::to_string(work_.submission->body.size()))
+      .end();
+  {
+    const std::lock_guard lock(mutex_);
+    if (given_up_) {
+      ending.outcome = Outcome::kUnsent;
+      return false;
+    }
+  }
+  if (socket_.write(out, work_.submission->body)) return true;
+  ending.outcome = Outcome::kUnreachable;
+  ending.reason = Reason::kSendFailed;
+  return false;
+}
+
+void ExecutorConnection::serve(Ending& ending) {
+  try {
+    if (connect(ending) && write(ending)) read_answer(ending);
+  } catch (const std::runtime_error& failure) {
+    // No descriptor was to be had, or discovery named an address that is none: nothing was written.
+    log_note(failure.what());
+    ending.outcome = Outcome::kUnreachable;
+    ending.reason = Reason::kUnreachable;
+  }
+}
+
+void ExecutorConnection::read_answer(Ending& ending) {
+  const Buffer buffer = world_.buffers.take();
+  if (!buffer) return;
+  char* const data = buffer.data();
+  socket_.limit_reading(Milliseconds(0));
+  http::Head head(http::Head::Kind::kAnswer);
+  std::size_t size = 0;
+  const auto read_more = [&] {
+    const long n = size < Buffer::kSize ? socket_.read(data + size, Buffer::kSize - size) : 0;
+    if (n > 0) size += static_cast<std::size_t>(n);
+    else ending.reason = n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+    return n > 0;
+  };
+  for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
+    if (!read_more()) return;
+    progress = head.read({data, size});
+    if (progress != http::Progress::kDone && progress != http::Progress::kMore) {
+      ending.reason = Reason::kBadMessage;
+      return;
+    }
+  }
+  // The head's own fields are read before lines are cut out of the bytes behind it.
+  const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
+  const double waiting = waiting_of(head.field("X-Backend-Load"));
+  http::BodyReader reader(head.framing, head.length);
+  const std::size_t start = head.size();
+  std::size_t raw = start, content = start, taken = 0, written = 0;
+  for (;;) {
+    const http::Progress progress = reader.read(data + raw, size - raw, data + content, taken, written);
+    raw += taken;
+    content += written;
+    if (progress == http::Progress::kBad) {
+      ending.reason = Reason::kBadMessage;
+      ending.kept = false;
+      return;
+    }
+    const bool whole = progress == http::Progress::kDone;
+    std::size_t line = start;
+    if (head.status == 200) {
+      for (;;) {
+        char* const end = static_cast<char*>(std::memchr(data + line, '\n', content - line));
+        if (end == nullptr || ending.told) break;
+        const std::size_t length = static_cast<std::size_t>(end - data) - line;
+        ending.kept = head.keep_alive;
+        if (length > 1) read_line({data + line, length}, ending);
+        line += length + 1;
+      }
+    }
+    std::memmove(data + start, data + line, content - line);
+    content = start + (content - line);
+    if (head.status != 200) content = start;
+    if (whole) break;
+    if (!ending.told) ending.kept = false;
+    if (ending.told && !ending.kept) return;
+    size = raw = content;
+    if (ending.told) socket_.limit_reading(kMostTail);
+    if (!read_more()) {
+      if (!ending.told || !ending.kept) return;
+      // The end was told already: the next launch finds the connection gone and opens another.
+      Socket gone;
+      const std::lock_guard lock(mutex_);
+      std::swap(gone, socket_);
+      return;
+    }
+  }
+  if (ending.told) return;
+  ending.kept = false;
+  if (head.status != 200)
+    tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, head.keep_alive, waiting, ending);
+}
+
+// A line that cannot be read is a launch that may have run.
+void ExecutorConnection::read_line(std::string_view line, Ending& ending) {
+  const bool kept = ending.kept;
+  rapidjson::Document object;
+  object.Parse(line.data(), line.size());
+  const JsonValue& state = member(object, "state");
+  const std::string_view word = state.IsString() ? text(state, "state") : std::string_view();
+  const auto tell = [&](Outcome outcome, ParcelRef result) {
+    tell_end(outcome, std::move(result), kept, waiting_of(member(object, "load")), ending);
+  };
+  if (word == "started") {
+    world_.reducer.post([&world = world_, id = work_.id](Time now) { world.node->launch_started(now, id); });
+  } else if (word == "running") {
+    const JsonValue& share = member(object, "share");
+    world_.reducer.post([&world = world_, id = work_.id, done = share.IsNumber() ? share.GetDouble() : 0](Time now) {
+      world.node->launch_progressed(now, id, done);
+    });
+  } else if (word == "done" && member(object, "result").IsString()) {
+    const std::string_view content = text(member(object, "result"), "result");
+    auto result = std::make_shared<Result>();
+    result->buffer = world_.buffers.take();
+    if (!result->buffer) return tell(Outcome::kBroken, nullptr);
+    std::memcpy(result->buffer.data(), content.data(), content.size());
+    result->text = {result->buffer.data(), content.size()};
+    tell(Outcome::kSatisfied, result);
+  } else if (word == "failed") {
+    tell(Outcome::kErrored, nullptr);
+  } else if (word == "returned") {
+    tell(Outcome::kTurnedAway, nullptr);
+  } else if (word == "lost") {
+    tell(Outcome::kBroken, nullptr);
+  } else {
+    log_note("executor: a line that cannot be read");
+    ending.kept = false;
+    tell_end(Outcome::kBroken, nullptr, false, -1, ending);
+    ending.reason = Reason::kBadMessage;
+  }
+}
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/executor.h
@@ -0,0 +1,59 @@
+// A connection to an executor. Its thread waits for a launch, connects, writes, reads to the end of the answer
+// and tells the reducer what it saw; then it waits for the next.
+#pragma once
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "core/effects.h"
+#include "net/log.h"
+#include "net/socket.h"
+#include "net/world.h"
+
+namespace canvasstage::net {
+
+class ExecutorConnection {
+ public:
+  ExecutorConnection(World& world, Milliseconds connect_within)
+      : world_(world), connect_within_(connect_within) {}
+  void run();  // the thread's
+
+  // The reducer's. One launch at a time; the next one once the last has ended.
+  void launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at);
+  void give_up();
+
+ private:
+  struct Work {
+    Id id = 0;
+    std::string address;
+    std::shared_ptr<const Submitted> submission;
+    Time give_up_at = 0;
+  };
+  struct Ending {
+    Outcome outcome = Outcome::kBroken;
+    bool told = false;  // the reducer knows
+    bool kept = false;  // the connection can carry another
+    Reason reason = Reason::kPeerBroke;
+  };
+  void serve(Ending& ending);
+  bool connect(Ending& ending);
+  bool stale() const;
+  bool write(Ending& ending);
+  void read_answer(Ending& ending);
+  void read_line(std::string_view line, Ending& ending);
+  void tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting, Ending& ending);
+
+  World& world_;
+  const Milliseconds connect_within_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  Socket socket_;
+  bool given_up_ = false;
+  std::optional<Work> next_;
+  Work work_;  // the thread's own
+};
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/server.cpp
@@ -0,0 +1,135 @@
+#include "net/server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <utility>
+
+namespace canvasstage::net {
+
+Server::Server(World& world, Socket listener, std::string discovery)
+    : world_(world), listener_(std::move(listener)), discovery_(std::move(discovery)) {}
+
+void Server::start() {
+  writers_.start();
+  if (!start_thread([this] { listen(); })) throw std::runtime_error("no thread to be had for the listener");
+}
+
+// --- The listener ---
+
+void Server::listen() {
+  // How long nobody must have come before it closes when it is to: what waits in it is taken first.
+  constexpr Milliseconds kQuiet{50};
+  listener_.limit_reading(kQuiet);
+  for (;;) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    Socket socket(::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_CLOEXEC));
+    if (socket.open()) {
+      char text[INET_ADDRSTRLEN] = "";
+      inet_ntop(AF_INET, &from.sin_addr, text, sizeof text);
+      accept(std::move(socket), std::string(text) + ":" + std::to_string(ntohs(from.sin_port)));
+      continue;
+    }
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      // Nothing to accept with; the reducer is closing what is idle.
+      constexpr timespec kPause{0, 10000000};
+      ::nanosleep(&kPause, nullptr);
+      continue;
+    }
+    if (closing_ && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+  }
+  listener_ = Socket();
+  world_.reducer.post([this](Time now) { world_.node->listener_closed(now); });
+}
+
+void Server::accept(Socket socket, std::string peer) {
+  const int on = 1;
+  ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  const Id id = ++last_client_;
+  auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
+  world_.reducer.post([this, client](Time now) {
+    clients_.emplace(client->id(), client);
+    world_.node->client_opened(now, client->id());
+  });
+  const auto closed = [this, id] {
+    world_.reducer.post([this, id](Time now) {
+      clients_.erase(id);
+      world_.node->client_closed(now, id);
+    });
+  };
+  const bool started = start_thread([client, closed]() mutable {
+    client->run();
+    client.reset();
+    closed();
+  });
+  if (!started) closed();
+}
+
+// --- Effects ---
+
+void Server::answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) {
+  const auto found = clients_.find(client);
+  if (found == clients_.end()) return;
+  char extra[64] = "";
+  if (stay_away > 0)
+    std::snprintf(extra, sizeof extra, "Retry-After: %.3f\r\n", static_cast<double>(stay_away) / kSecond);
+  const int status = answer == Answer::kSatisfied ? 200 : answer == Answer::kPushedBack ? 503 : 502;
+  found->second->answer(status, extra, result, last, writers_);
+}
+
+void Server::close_client(Id client) {
+  if (const auto found = clients_.find(client); found != clients_.end()) found->second->close_when_idle();
+}
+
+void Server::launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
+                    Time give_up_at) {
+  std::shared_ptr<ExecutorConnection> link;
+  if (const auto found = links_.find(over); found != links_.end()) {
+    link = std::move(found->second);
+    links_.erase(found);
+  } else {
+    const Time within = std::min(world_.terms.connect_within, world_.terms.drain_grace / 2);
+    link = std::make_shared<ExecutorConnection>(world_, Milliseconds(within / (kSecond / 1000)));
+    const bool started = start_thread([this, link] {
+      link->run();
+      world_.reducer.post([this, gone = link.get()](Time) {
+        std::erase_if(links_, [gone](const auto& entry) { return entry.second.get() == gone; });
+      });
+    });
+    if (!started) {
+      world_.reducer.post([this, launch](Time now) {
+        world_.node->launch_ended(now, launch, Outcome::kUnsent, nullptr, false, nullptr);
+      });
+      return;
+    }
+  }
+  link->launch(launch, address, submission, give_up_at);
+  links_.emplace(launch, std::move(link));
+}
+
+void Server::give_up(Id launch) {
+  if (const auto found = links_.find(launch); found != links_.end()) found->second->give_up();
+}
+
+void Server::watch_roster(std::uint64_t from_version) {
+  if (watch_) watch_->give_up();
+  watch_ = std::make_shared<Watch>(world_, discovery_, from_version);
+  const bool started = start_thread([watch = watch_] { watch->run(); });
+  if (!started) world_.reducer.post([this](Time now) { world_.node->roster_refused(now); });
+}
+
+void Server::end_threads() {
+  closing_ = true;
+  writers_.stop();
+  if (watch_) watch_->give_up();
+  for (const auto& [id, client] : clients_) client->shut();
+  for (const auto& [id, link] : links_) link->give_up();
+}
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/server.h
@@ -0,0 +1,49 @@
+// The core's effects on real sockets, and the listener. Its maps belong to the reducer's thread.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/effects.h"
+#include "net/client.h"
+#include "net/discovery.h"
+#include "net/executor.h"
+#include "net/world.h"
+
+namespace canvasstage::net {
+
+class Server final : public Effects {
+ public:
+  Server(World& world, Socket listener, std::string discovery);
+  void start();
+  // After the reducer has finished: ends every thread.
+  void end_threads();
+
+  void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) override;
+  void close_client(Id client) override;
+  void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
+              Time give_up_at) override;
+  void give_up(Id launch) override;
+  void watch_roster(std::uint64_t from_version) override;
+  void wake_at(Time when, std::uint64_t token) override { world_.reducer.wake_at(when, token); }
+  void close_listener() override { closing_ = true; }
+  void finish() override { world_.reducer.finish(); }
+
+ private:
+  void listen();
+  void accept(Socket socket, std::string peer);
+
+  World& world_;
+  Socket listener_;  // the listener thread's
+  const std::string discovery_;
+  std::atomic<bool> closing_{false};
+  Writers writers_;
+  std::unordered_map<Id, std::shared_ptr<ClientConnection>> clients_;
+  std::unordered_map<Id, std::shared_ptr<ExecutorConnection>> links_;
+  std::shared_ptr<Watch> watch_;
+  Id last_client_ = 0;  // the listener thread's
+};
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,191 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <condition_variable>
+#include <cstring>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+
+namespace canvasstage::net {
+namespace {
+
+sockaddr_in read_address(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  const char* const end = address.data() + address.size();
+  if (colon == std::string::npos || std::from_chars(address.data() + colon + 1, end, port).ptr != end ||
+      inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) != 1)
+    throw std::runtime_error("not an address and a port: " + address);
+  result.sin_port = htons(port);
+  return result;
+}
+
+void limit(int fd, int option, Milliseconds limit) {
+  const timeval value{limit.count() / 1000, static_cast<suseconds_t>(limit.count() % 1000 * 1000)};
+  ::setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
+}
+
+[[noreturn]] void fail(const std::string& what) {
+  throw std::runtime_error(what + ": " + std::strerror(errno));
+}
+
+}  // namespace
+
+Socket& Socket::operator=(Socket&& other) noexcept {
+  std::swap(fd_, other.fd_);
+  return *this;
+}
+
+Socket::~Socket() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+void Socket::limit_sending(Milliseconds value) const {
+  limit(fd_, SO_SNDTIMEO, value);
+}
+
+void Socket::limit_reading(Milliseconds value) const {
+  limit(fd_, SO_RCVTIMEO, value);
+}
+
+long Socket::read(char* into, std::size_t size, int flags) const {
+  for (;;) {
+    const ssize_t n = ::recv(fd_, into, size, flags);
+    if (n >= 0 || errno != EINTR) return n;
+  }
+}
+
+long Socket::write_some(std::string_view first, std::string_view second) const {
+  std::size_t sent = 0;
+  while (sent < first.size() + second.size()) {
+    iovec parts[2];
+    const std::size_t of_first = std::min(sent, first.size());
+    parts[0] = {const_cast<char*>(first.data()) + of_first, first.size() - of_first};
+    parts[1] = {const_cast<char*>(second.data()) + (sent - of_first), second.size() - (sent - of_first)};
+    msghdr message{};
+    message.msg_iov = parts;
+    message.msg_iovlen = 2;
+    const ssize_t n = ::sendmsg(fd_, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? static_cast<long>(sent) : -1;
+    sent += static_cast<std::size_t>(n);
+  }
+  return static_cast<long>(sent);
+}
+
+bool Socket::write(std::string_view first, std::string_view second) const {
+  const long sent = write_some(first, second);
+  if (sent < 0) return false;
+  const std::size_t done = static_cast<std::size_t>(sent);
+  for (std::string_view part : {first.substr(std::min(done, first.size())),
+                                second.substr(done - std::min(done, first.size()))})
+    while (!part.empty()) {
+      const ssize_t n = ::send(fd_, part.data(), part.size(), MSG_NOSIGNAL);
+      if (n < 0 && errno == EINTR) continue;
+      if (n <= 0) return false;
+      part.remove_prefix(static_cast<std::size_t>(n));
+    }
+  return true;
+}
+
+void Socket::shut(int how) const {
+  if (fd_ >= 0) ::shutdown(fd_, how);
+}
+
+Socket new_socket() {
+  Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!socket.open()) fail("socket");
+  const int on = 1;
+  ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return socket;
+}
+
+Socket listen_on(const std::string& address) {
+  const sockaddr_in at = read_address(address);
+  Socket socket = new_socket();
+  const int on = 1;
+  ::setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  // As many as the system allows: whoever connects is to get an answer.
+  constexpr int kBacklog = 4096;
+  if (::bind(socket.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+      ::listen(socket.fd(), kBacklog) != 0)
+    fail("cannot listen on " + address);
+  return socket;
+}
+
+int connect_to(const Socket& socket, const std::string& address) {
+  const sockaddr_in to = read_address(address);
+  if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return 0;
+  return errno;
+}
+
+namespace {
+
+struct Threads {
+  std::mutex mutex;
+  std::condition_variable ended;
+  int running = 0;
+};
+
+Threads& threads() {
+  static Threads all;
+  return all;
+}
+
+void* run_thread(void* argument) {
+  {
+    const std::unique_ptr<std::function<void()>> body(static_cast<std::function<void()>*>(argument));
+    (*body)();
+  }
+  const std::lock_guard lock(threads().mutex);
+  --threads().running;
+  threads().ended.notify_all();
+  return nullptr;
+}
+
+}  // namespace
+
+bool start_thread(std::function<void()> body) {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  constexpr std::size_t kStack = 512 * 1024;  // the sanitizers' frames are several times larger
+#else
+  constexpr std::size_t kStack = 64 * 1024;
+#endif
+  auto argument = std::make_unique<std::function<void()>>(std::move(body));
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, kStack);
+  pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+  {
+    const std::lock_guard lock(threads().mutex);
+    ++threads().running;
+  }
+  pthread_t thread;
+  const bool started = pthread_create(&thread, &attributes, run_thread, argument.get()) == 0;
+  pthread_attr_destroy(&attributes);
+  if (started) {
+    argument.release();
+    return true;
+  }
+  const std::lock_guard lock(threads().mutex);
+  --threads().running;
+  return false;
+}
+
+bool threads_end_within(Milliseconds limit) {
+  std::unique_lock lock(threads().mutex);
+  return threads().ended.wait_for(lock, limit, [] { return threads().running == 0; });
+}
+
+}  // namespace canvasstage::net
--- /dev/null
+++ b/src/net/socket.h
@@ -0,0 +1,52 @@
+// Blocking sockets that close themselves, and threads with small stacks.
+#pragma once
+
+#include <sys/uio.h>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace canvasstage::net {
+
+using Milliseconds = std::chrono::milliseconds;
+
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(int fd) : fd_(fd) {}
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept;
+  ~Socket();
+
+  int fd() const { return fd_; }
+  bool open() const { return fd_ >= 0; }
+  void limit_sending(Milliseconds limit) const;
+  void limit_reading(Milliseconds limit) const;  // 0: none
+  // Fills what it can: -1 with errno, or 0 at the end of the stream.
+  long read(char* into, std::size_t size, int flags = 0) const;
+  // Whether all went to the kernel.
+  bool write(std::string_view first, std::string_view second) const;
+  // As much as goes without waiting; -1: the connection is broken.
+  long write_some(std::string_view first, std::string_view second) const;
+  void shut(int how) const;
+
+ private:
+  int fd_ = -1;
+};
+
+// All of these throw std::runtime_error where the address cannot be read or the system refuses.
+Socket listen_on(const std::string& address);
+Socket new_socket();
+// Within the socket's limit for sending; 0 or errno.
+int connect_to(const Socket& socket, const std::string& address);
+
+// Runs it on a thread of its own; false: the system has none left.
+bool start_thread(std::function<void()> body);
+// Waits until every thread has ended, for as long as this at most.
+bool threads_end_within(Milliseconds limit);
+
+}  // namespace canvasstage::net
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -809,6 +809,13 @@
   cancel_pending(index, nullptr);
 }
 
+void Policy::hurry(Time now, int index, Time due) {
+  Submission& submission = submissions[index];
+  if (!submission.open || submission.due <= due) return;
+  submission.due = due;
+  wake(std::max(now, due - 2 * settings_.quantum), index);
+}
+
 void Policy::timer_due(Time now, std::uint64_t token) {
   if (token == kTickToken) return tick(now);
   const std::uint64_t index = token & ((1u << kIndexBits) - 1);
--- a/src/policy.h
+++ b/src/policy.h
@@ -145,6 +145,7 @@
   void launch_ended(Time now, int submission, int launch, Outcome outcome, Time latency, bool settled,
                     const Load* load);
   void client_left(Time now, int submission);
+  void hurry(Time now, int submission, Time due);  // its hard limit comes earlier: the node is to stop
   void timer_due(Time now, std::uint64_t token);
 
   // The parts of a decision, open to tests and to whoever wants to look.
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -1,99 +1,27 @@
 #include "adapter.h"
 
-#define RAPIDJSON_HAS_STDSTRING 1
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <algorithm>
-#include <cmath>
 #include <memory>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "core/settings.h"
 #include "policy.h"
 
 namespace canvasstage::simhost {
 namespace {
 
-using Value = rapidjson::Value;
+using Value = JsonValue;
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
 // Token 0 of the simulator's timers belongs to nobody; a timer's token goes through unchanged.
 constexpr std::uint32_t kPoolStart = 64 * 1024;
 
-[[noreturn]] void bad(const std::string& what) {
-  throw BadInput(what);
-}
-
-// A message's value; null where the message ends before it.
-const Value& at(const Value& message, rapidjson::SizeType index) {
-  static const Value kNull;
-  return index < message.Size() ? message[index] : kNull;
-}
-
-double number(const Value& value, const char* field) {
-  if (!value.IsNumber()) bad(std::string(field) + ": a number is needed");
-  return value.GetDouble();
-}
-
-double number_or(const Value& value, double otherwise, const char* field) {
-  return value.IsNull() ? otherwise : number(value, field);
-}
-
-std::uint64_t whole(const Value& value, const char* field) {
-  if (!value.IsUint64()) bad(std::string(field) + ": a whole number is needed");
-  return value.GetUint64();
-}
-
-std::string_view text(const Value& value, const char* field) {
-  if (!value.IsString()) bad(std::string(field) + ": a string is needed");
-  return {value.GetString(), value.GetStringLength()};
-}
-
-// Rounded down, so that a deadline is never taken for later than it is; the nudge undoes the binary fraction.
-Time to_time(double seconds) {
-  const double units = seconds * kSecond + 1e-4;
-  return units > static_cast<double>(kNever) ? kNever : static_cast<Time>(std::floor(units));
-}
-
-// The settings: an object's member, or null where it is absent.
-const Value& member(const Value& object, const char* key) {
-  static const Value kNull;
-  if (!object.IsObject()) return kNull;
-  const auto found = object.FindMember(key);
-  return found == object.MemberEnd() ? kNull : found->value;
-}
-
-const Value& needed(const Value& object, const char* key) {
-  const Value& value = member(object, key);
-  if (value.IsNull()) bad(std::string("bootInfo: ") + key + " is missing");
-  return value;
-}
-
-bool flag(const Value& object, const char* key) {
-  const Value& value = member(object, key);
-  return value.IsBool() && value.GetBool();
-}
-
-double setting(const Value& object, const char* key, double otherwise) {
-  return number_or(member(object, key), otherwise, key);
-}
-
-int index_of(const std::vector<std::string>& names, std::string_view name) {
-  for (std::size_t i = 0; i < names.size(); ++i)
-    if (names[i] == name) return static_cast<int>(i);
-  return -1;
-}
-
-void read_names(const Value& list, const char* key, std::vector<std::string>& names) {
-  if (list.IsNull()) return;
-  if (!list.IsArray()) bad(std::string(key) + ": a list is needed");
-  for (const Value& name : list.GetArray()) names.emplace_back(text(name, key));
-}
-
 Outcome outcome_of(std::uint64_t status) {
   switch (status) {
     case 200:
@@ -115,6 +43,12 @@
   }
 }
 
+// A message's value; null where the message ends before it.
+const Value& at(const Value& message, rapidjson::SizeType index) {
+  static const Value kNull;
+  return index < message.Size() ? message[index] : kNull;
+}
+
 // The replies of one batch, written as they are decided.
 struct Reply {
   rapidjson::StringBuffer buffer;
@@ -205,7 +139,7 @@
   std::uint64_t id_;
   Reply& reply_;
   std::unique_ptr<Policy> policy_;
-  std::vector<std::string> zones_, kinds_, use_cases_, fields_;
+  Terms terms_;
   std::unordered_map<std::uint64_t, int> submissions_, executors_;
   std::vector<std::uint64_t> executor_ids_;
   std::vector<Entry> entries_;
@@ -213,64 +147,8 @@
 };
 
 void Instance::hello(Time now, std::uint64_t seed, const Value& info) {
-  if (!info.IsObject()) bad("bootInfo: an object is needed");
-  read_names(member(info, "zones"), "zones", zones_);
-  read_names(member(info, "shapes"), "shapes", kinds_);
-  read_names(member(member(info, "report"), "fields"), "report.fields", fields_);
-  Settings s;
-  const Value& domain = member(info, "domain");
-  const Value& stretch = member(domain, "classStretch");
-  const Value& kind = member(domain, "classKind");
-  const Value& cases = needed(info, "useCases");
-  if (!cases.IsArray() || cases.Empty()) bad("useCases: a list is needed");
-  for (rapidjson::SizeType i = 0; i < cases.Size(); ++i) {
-    const Value& from = cases[i];
-    use_cases_.emplace_back(text(needed(from, "name"), "useCases.name"));
-    UseCase u;
-    u.agreed_time = to_time(number(needed(from, "agreedTime"), "agreedTime"));
-    u.stretch = setting(from, "aimStretch", 0);
-    if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
-    if (kind.IsArray() && i < kind.Size())
-      u.machine_kind = static_cast<int>(number(kind[i], "domain.classKind"));
-    u.billing_value = setting(from, "billingValue", 1);
-    u.overdue_value = setting(from, "overdueBillingValue", 0);
-    const std::string_view effect = text(needed(from, "semantics"), "semantics");
-    u.effect = effect == "free"      ? Effect::kReplayable
-               : effect == "guarded" ? Effect::kReferenced
-                                     : Effect::kSingleUse;
-    const Value& group = member(from, "group");
-    if (group.IsString()) {
-      const std::string_view name = text(group, "group");
-      u.group = name == "all" ? Group::kAll : name == "zone" ? Group::kZone : Group::kCell;
-    } else if (u.effect == Effect::kReferenced) {
-      bad("bootInfo: group is missing");
-    }
-    u.window = to_time(setting(from, "window", 0));
-    s.use_cases.push_back(u);
-  }
-  const Value& locality = member(info, "locality");
-  if (locality.IsString()) s.zone = index_of(zones_, text(locality, "locality"));
-  s.replicas = static_cast<int>(number(needed(info, "replicasOfMe"), "replicasOfMe"));
-  s.quantum = to_time(setting(info, "quantum", 0.001));
-  const Value& mode = member(info, "membershipMode");
-  s.ask_for_roster = mode.IsString() && text(mode, "membershipMode") == "ask";
-  const Value& caps = needed(info, "caps");
-  s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
-  s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
-  s.connection_idle = to_time(setting(caps, "connIdle", 0));
-  s.connections_cost = setting(member(info, "prices"), "handshake", 0) > 0;
-  s.second_copies = flag(caps, "secondCopies");
-  s.cancelling = flag(caps, "cancelling");
-  if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
-  s.tells_start = flag(domain, "tellsStart");
-  s.progress_every = to_time(setting(domain, "progress", 0));
-  const Value& rules = needed(info, "guarantees");
-  s.ask_within = to_time(setting(rules, "askWithin", 1e9));
-  s.cold_from = setting(rules, "coldFrom", 1);
-  s.warm_up = to_time(setting(rules, "warmUp", 0));
-  s.fall_multiple = setting(rules, "fallMultiple", 1);
-  s.fall_span = to_time(setting(rules, "overloadFor", 1));
-  policy_ = std::make_unique<Policy>(std::move(s), *this, static_cast<std::uint32_t>(seed), now);
+  Settings settings = decode_settings(info, terms_);
+  policy_ = std::make_unique<Policy>(std::move(settings), *this, static_cast<std::uint32_t>(seed), now);
 }
 
 void Instance::topology(Time now, const Value& message) {
@@ -289,8 +167,8 @@
                                                  : Standing::kGone;
     const Value& zone = at(row, 1);
     const Value& kind = at(row, 2);
-    policy_->executor_listed(now, found->second, zone.IsString() ? index_of(zones_, text(zone, "zone")) : -1,
-                             kind.IsString() ? index_of(kinds_, text(kind, "kind")) : -1,
+    policy_->executor_listed(now, found->second, zone.IsString() ? index_of(terms_.zones, text(zone, "zone")) : -1,
+                             kind.IsString() ? index_of(terms_.machine_kinds, text(kind, "kind")) : -1,
                              static_cast<int>(number_or(at(row, 3), -1, "unitGroup")), standing,
                              to_time(number_or(at(row, 6), 0, "launched")));
   }
@@ -301,7 +179,7 @@
 
 void Instance::arrive(Time now, const Value& message) {
   const std::uint64_t id = whole(at(message, 2), "msgId");
-  const int use_case = index_of(use_cases_, text(at(message, 3), "kind"));
+  const int use_case = index_of(terms_.use_cases, text(at(message, 3), "kind"));
   if (use_case < 0) bad("kind: not a use case of the settings");
   const Time due = to_time(number(at(message, 6), "due"));
   const std::uint64_t attrs = static_cast<std::uint64_t>(number_or(at(message, 10), 0, "attrs"));
@@ -323,8 +201,8 @@
 
 const Load* Instance::load(const Value& report, Load& into) const {
   if (!report.IsArray()) return nullptr;
-  for (rapidjson::SizeType i = 0; i < report.Size() && i < fields_.size(); ++i) {
-    if (report[i].IsNumber() && fields_[i] == "backlog") into.waiting = report[i].GetDouble();
+  for (rapidjson::SizeType i = 0; i < report.Size() && i < terms_.report_fields.size(); ++i) {
+    if (report[i].IsNumber() && terms_.report_fields[i] == "backlog") into.waiting = report[i].GetDouble();
   }
   return &into;
 }
--- a/src/simhost/adapter.h
+++ b/src/simhost/adapter.h
@@ -3,16 +3,12 @@
 
 #include <cstdint>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
-namespace canvasstage::simhost {
+#include "core/settings.h"
 
-// Input that cannot be read; the message names the field.
-struct BadInput : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+namespace canvasstage::simhost {
 
 class Adapter {
  public:
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -48,8 +48,8 @@
         std::cerr << "canvasstage_simhost: cannot write: " << std::strerror(errno) << '\n';
         return 1;
       }
-    } catch (const canvasstage::simhost::BadInput& bad) {
-      std::cerr << "canvasstage_simhost: line " << number << ": " << bad.what() << '\n';
+    } catch (const canvasstage::BadInput& input) {
+      std::cerr << "canvasstage_simhost: line " << number << ": " << input.what() << '\n';
       return 1;
     }
   }
