--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -13,14 +13,20 @@
 constexpr std::uint64_t kListenerToken = kOwnToken + 1;
 constexpr std::uint64_t kStopToken = kOwnToken + 2;
 
-// Descriptors that are no connection: standard streams, listener, discovery, and those of a burst that the
-// listener accepts while the reducer still makes room.
-constexpr int kReserved = 48;
+// Descriptors that are no connection of the node's: standard streams, listener, discovery, the log; and those
+// that a burst takes while the reducer still makes room.
+int usable(int descriptors) {
+  constexpr int kOwn = 8;
+  constexpr int kBurstPart = 32;
+  return std::max(4, descriptors - kOwn - descriptors / kBurstPart);
+}
+
 // Free connections are looked over this often; small beside any idle time that a platform sets.
 constexpr Time kTick = kSecond;
 // The platform kills no sooner than its longest hard limit, 3 s at most, and 0.7 s after asking us to stop.
-constexpr Time kStopWithin = 3 * kSecond;
-constexpr Time kLastAnswers = kSecond / 2;
+constexpr Time kMostDeadline = 3 * kSecond;
+constexpr Time kStopSlack = kSecond / 5;
+constexpr Time kLastAnswers = kSecond * 3 / 10;
 // Connections go on coming for 0.4 s after that.
 constexpr Time kListenOn = kSecond * 45 / 100;
 
@@ -30,7 +36,7 @@
     : terms_(std::move(terms)),
       effects_(effects),
       now_(now),
-      most_descriptors_(std::max(4, descriptors - kReserved)),
+      most_descriptors_(usable(descriptors)),
       // The executor closes at its idle time at the latest, and clocks and wires are late.
       link_idle_(settings.connection_idle * 3 / 4),
       policy_(std::move(settings), *this, seed, now) {
@@ -186,13 +192,13 @@
   answer(submission, Answer::kAborted, nullptr, 0);
 }
 
+// Its time is over: the thread that serves it may be anywhere, and is not waited for.
 void Node::launch_timer_due(Time now, Id launch) {
   const auto found = running_.find(launch);
   if (found == running_.end()) return;
-  if (found->second.unsent) return launch_ended(now, launch, Outcome::kUnsent, nullptr, false, nullptr);
-  if (found->second.cancelled || found->second.expired) return;
-  found->second.expired = true;
-  effects_.give_up(launch);
+  const bool unsent = found->second.unsent;
+  if (!unsent) effects_.give_up(launch);
+  launch_ended(now, launch, unsent ? Outcome::kUnsent : Outcome::kTimedOut, nullptr, false, nullptr);
 }
 
 void Node::launch_started(Time now, Id launch) {
@@ -217,8 +223,7 @@
   running_.erase(found);
   // One that we gave up ends as a broken connection; what came before that still counts.
   if (outcome == Outcome::kBroken && running.cancelled) outcome = Outcome::kCancelled;
-  if (outcome == Outcome::kBroken && running.expired) outcome = Outcome::kTimedOut;
-  if (kept && !running.cancelled && !running.expired)
+  if (kept && !running.cancelled)
     places_[running.executor].free.push_back({launch, now});
   else if (!running.unsent)
     --links_;
@@ -300,7 +305,7 @@
 void Node::stop(Time now) {
   if (stop_by_ != kNever) return;
   now_ = now;
-  stop_by_ = now + std::min(kStopWithin, terms_.longest_hard_limit);
+  stop_by_ = now + std::min(kMostDeadline, terms_.longest_hard_limit) + kStopSlack;
   for (std::size_t i = 0; i < entries_.size(); ++i)
     if (!entries_[i].ended) policy_.hurry(now, static_cast<int>(i), stop_by_);
   for (const auto& [id, running] : running_) effects_.wake_at(stop_by_, kLaunchToken | id);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -71,7 +71,7 @@
   };
   struct Running {
     int submission, number, executor;
-    bool cancelled = false, expired = false, unsent = false;
+    bool cancelled = false, unsent = false;
   };
   struct FreeLink {
     Id launch;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -169,8 +169,7 @@
   return read_submission(submission, carried, reason) && hand_in(submission, reason);
 }
 
-bool ClientConnection::read_more(Submitted& submission, std::size_t& size, Reason& reason) {
-  const Time until = now() + kMostReading;
+bool ClientConnection::read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason) {
   for (;;) {
     const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
     if (n > 0) {
@@ -188,6 +187,7 @@
                                        Reason& reason) {
   Submitted& s = *submission;
   char* const data = s.buffer.data();
+  const Time until = now() + kMostReading;
   std::size_t size = carried;
   http::Progress progress = http::Progress::kMore;
   for (;;) {
@@ -196,7 +196,7 @@
     if (progress == http::Progress::kHeadTooLarge) return reject(431, Reason::kTooLarge, reason);
     if (progress == http::Progress::kBodyTooLarge) return reject(413, Reason::kTooLarge, reason);
     if (progress == http::Progress::kDone) break;
-    if (!read_more(s, size, reason)) return false;
+    if (!read_more(s, size, until, reason)) return false;
   }
   const std::size_t start = s.head.size();
   if (size == start && http::same_name(s.head.field("Expect"), "100-continue"))
@@ -212,7 +212,7 @@
     if (progress == http::Progress::kDone) break;
     size = raw = content;  // all that came is taken
     if (size == Buffer::kSize) return reject(413, Reason::kTooLarge, reason);
-    if (!read_more(s, size, reason)) return false;
+    if (!read_more(s, size, until, reason)) return false;
   }
   s.body = {data + start, content - start};
   carry_.assign(data + raw, size - raw);
@@ -242,16 +242,14 @@
   Time left = 0;
   if (head.field("X-Correlation-Id").empty() || !read_time_left(head.field("X-Time-Left"), left))
     return reject(400, Reason::kBadMessage, reason);
-  const std::string_view facts = head.field("X-Facts");
-  const double hint = fact(facts, "workHint", 0);
-  const int width = std::max(1, static_cast<int>(std::min(fact(facts, "slots", 1), 1e6)));
+  const int width = std::max(1, static_cast<int>(std::min(fact(head.field("X-Facts"), "slots", 1), 1e6)));
   {
     const std::lock_guard lock(mutex_);
     open_ = true;
   }
-  world_.reducer.post([&world = world_, id = id_, use_case, due = came + left, hint, width,
+  world_.reducer.post([&world = world_, id = id_, use_case, due = came + left, width,
                        parcel = ParcelRef(submission)](Time now) {
-    world.node->submission_arrived(now, id, use_case, due, hint, width, parcel);
+    world.node->submission_arrived(now, id, use_case, due, 0, width, parcel);
   });
   return await_answer(reason);
 }
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -53,7 +53,7 @@
 
  private:
   bool serve_one(Reason& reason);
-  bool read_more(Submitted& submission, std::size_t& size, Reason& reason);
+  bool read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason);
   bool read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried, Reason& reason);
   bool hand_in(const std::shared_ptr<Submitted>& submission, Reason& reason);
   bool await_answer(Reason& reason);
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -55,29 +55,18 @@
     {
       std::unique_lock lock(mutex_);
       changed_.wait(lock, [this] { return given_up_ || next_; });
-      if (!next_) {
-        log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kIdle);
-        break;
-      }
+      if (!next_) break;
       work_ = std::move(*next_);
       next_.reset();
     }
     Ending ending;
     serve(ending);
     work_.submission.reset();
-    if (!ending.kept) {
-      Socket closing;
-      bool given_up;
-      {
-        const std::lock_guard lock(mutex_);
-        std::swap(closing, socket_);
-        given_up = given_up_;
-      }
-      log_connection_end(Side::kExecutor, work_.id, work_.address, given_up ? Reason::kGivenUp : ending.reason);
-    }
+    if (!ending.kept) drop_socket(ending.reason);
     if (!ending.told) tell_end(ending.outcome, nullptr, false, -1, ending);
-    if (!ending.kept) break;
+    if (!ending.kept) return;
   }
+  drop_socket(Reason::kIdle);
 }
 
 void ExecutorConnection::tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting,
@@ -103,8 +92,9 @@
       ending.outcome = Outcome::kUnsent;
       return false;
     }
-    Socket old = std::exchange(socket_, new_socket());
-    if (old.open()) log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kPeerClosed);
+    if (socket_.open()) log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kPeerClosed);
+    socket_ = Socket();
+    socket_ = new_socket();
     socket_.limit_sending(connect_within_);
   }
   if (connect_to(socket_, work_.address) != 0) {
@@ -142,14 +132,23 @@
 }
 
 void ExecutorConnection::serve(Ending& ending) {
+  bool connected = false;
   try {
-    if (connect(ending) && write(ending)) read_answer(ending);
+    connected = connect(ending);
   } catch (const std::runtime_error& failure) {
-    // No descriptor was to be had, or discovery named an address that is none: nothing was written.
+    // No descriptor was to be had, or discovery named an address that is none.
     log_note(failure.what());
     ending.outcome = Outcome::kUnreachable;
     ending.reason = Reason::kUnreachable;
   }
+  if (connected && write(ending)) read_answer(ending);
+}
+
+bool ExecutorConnection::read_more(char* data, std::size_t& size, Ending& ending) {
+  const long n = size < Buffer::kSize ? socket_.read(data + size, Buffer::kSize - size) : 0;
+  if (n > 0) size += static_cast<std::size_t>(n);
+  else ending.reason = n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+  return n > 0;
 }
 
 void ExecutorConnection::read_answer(Ending& ending) {
@@ -159,73 +158,66 @@
   socket_.limit_reading(Milliseconds(0));
   http::Head head(http::Head::Kind::kAnswer);
   std::size_t size = 0;
-  const auto read_more = [&] {
-    const long n = size < Buffer::kSize ? socket_.read(data + size, Buffer::kSize - size) : 0;
-    if (n > 0) size += static_cast<std::size_t>(n);
-    else ending.reason = n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
-    return n > 0;
-  };
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
-    if (!read_more()) return;
+    if (!read_more(data, size, ending)) return;
     progress = head.read({data, size});
-    if (progress != http::Progress::kDone && progress != http::Progress::kMore) {
-      ending.reason = Reason::kBadMessage;
-      return;
-    }
+    if (progress == http::Progress::kDone || progress == http::Progress::kMore) continue;
+    ending.reason = Reason::kBadMessage;
+    return;
   }
-  // The head's own fields are read before lines are cut out of the bytes behind it.
+  read_body(head, data, size, ending);
+  if (ending.told || head.status == 200) return;
   const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
-  const double waiting = waiting_of(head.field("X-Backend-Load"));
+  tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, ending.whole && head.keep_alive,
+           waiting_of(head.field("X-Backend-Load")), ending);
+}
+
+// The lines of a 200 are taken as they come; what else stands in a body is read over.
+void ExecutorConnection::read_body(const http::Head& head, char* data, std::size_t size, Ending& ending) {
   http::BodyReader reader(head.framing, head.length);
   const std::size_t start = head.size();
   std::size_t raw = start, content = start, taken = 0, written = 0;
   for (;;) {
     const http::Progress progress = reader.read(data + raw, size - raw, data + content, taken, written);
-    raw += taken;
-    content += written;
     if (progress == http::Progress::kBad) {
       ending.reason = Reason::kBadMessage;
-      ending.kept = false;
-      return;
+      break;
     }
-    const bool whole = progress == http::Progress::kDone;
+    raw += taken;
+    content += written;
     std::size_t line = start;
-    if (head.status == 200) {
-      for (;;) {
-        char* const end = static_cast<char*>(std::memchr(data + line, '\n', content - line));
-        if (end == nullptr || ending.told) break;
-        const std::size_t length = static_cast<std::size_t>(end - data) - line;
-        ending.kept = head.keep_alive;
-        if (length > 1) read_line({data + line, length}, ending);
-        line += length + 1;
-      }
+    while (head.status == 200 && !ending.told) {
+      const char* const end = static_cast<char*>(std::memchr(data + line, '\n', content - line));
+      if (end == nullptr) break;
+      const std::size_t length = static_cast<std::size_t>(end - data) - line;
+      if (length > 1) take_line({data + line, length}, head.keep_alive, ending);
+      line += length + 1;
     }
-    std::memmove(data + start, data + line, content - line);
-    content = start + (content - line);
-    if (head.status != 200) content = start;
-    if (whole) break;
-    if (!ending.told) ending.kept = false;
-    if (ending.told && !ending.kept) return;
-    size = raw = content;
-    if (ending.told) socket_.limit_reading(kMostTail);
-    if (!read_more()) {
-      if (!ending.told || !ending.kept) return;
-      // The end was told already: the next launch finds the connection gone and opens another.
-      Socket gone;
-      const std::lock_guard lock(mutex_);
-      std::swap(gone, socket_);
+    if (progress == http::Progress::kDone) {
+      ending.whole = true;
       return;
     }
+    if (ending.told && !ending.kept) return;
+    if (ending.told || head.status != 200) line = content;
+    std::memmove(data + start, data + line, content - line);
+    size = raw = content = start + (content - line);
+    if (ending.told || head.status != 200) socket_.limit_reading(kMostTail);
+    if (!read_more(data, size, ending)) break;
   }
-  if (ending.told) return;
-  ending.kept = false;
-  if (head.status != 200)
-    tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, head.keep_alive, waiting, ending);
+  // The end was told already: the next launch finds the connection gone and opens another.
+  if (ending.told && ending.kept) drop_socket(ending.reason);
+}
+
+void ExecutorConnection::drop_socket(Reason reason) {
+  Socket closing;
+  const std::lock_guard lock(mutex_);
+  std::swap(closing, socket_);
+  if (closing.open())
+    log_connection_end(Side::kExecutor, work_.id, work_.address, given_up_ ? Reason::kGivenUp : reason);
 }
 
 // A line that cannot be read is a launch that may have run.
-void ExecutorConnection::read_line(std::string_view line, Ending& ending) {
-  const bool kept = ending.kept;
+void ExecutorConnection::take_line(std::string_view line, bool kept, Ending& ending) {
   rapidjson::Document object;
   object.Parse(line.data(), line.size());
   const JsonValue& state = member(object, "state");
@@ -256,9 +248,8 @@
     tell(Outcome::kBroken, nullptr);
   } else {
     log_note("executor: a line that cannot be read");
-    ending.kept = false;
-    tell_end(Outcome::kBroken, nullptr, false, -1, ending);
     ending.reason = Reason::kBadMessage;
+    tell_end(Outcome::kBroken, nullptr, false, -1, ending);
   }
 }
 
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -36,6 +36,7 @@
     Outcome outcome = Outcome::kBroken;
     bool told = false;  // the reducer knows
     bool kept = false;  // the connection can carry another
+    bool whole = false;  // the answer was read to its end
     Reason reason = Reason::kPeerBroke;
   };
   void serve(Ending& ending);
@@ -43,7 +44,10 @@
   bool stale() const;
   bool write(Ending& ending);
   void read_answer(Ending& ending);
-  void read_line(std::string_view line, Ending& ending);
+  bool read_more(char* data, std::size_t& size, Ending& ending);
+  void read_body(const http::Head& head, char* data, std::size_t size, Ending& ending);
+  void take_line(std::string_view line, bool kept, Ending& ending);
+  void drop_socket(Reason reason);
   void tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting, Ending& ending);
 
   World& world_;
