--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+JOBS ?= 4
+SOURCES = $(wildcard src/*.h src/*.cpp src/*/*.h src/*/*.cpp tests/*.h tests/*.cpp)
+
+.PHONY: build test lint run clean
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build -j$(JOBS)
+
+# All tests under the address and undefined-behaviour sanitizers, then those with threads under the thread sanitizer.
+test:
+	cmake -B build-ci -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCANVASSTAGE_TESTS=ON \
+	  -DCANVASSTAGE_SANITIZE=address,undefined
+	cmake --build build-ci -j$(JOBS)
+	ctest --test-dir build-ci --output-on-failure -j$(JOBS)
+	cmake -B build-tsan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCANVASSTAGE_TESTS=ON -DCANVASSTAGE_SANITIZE=thread
+	cmake --build build-tsan -j$(JOBS)
+	TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan --output-on-failure -j$(JOBS) -R '^Program'
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	@! grep -nE '^.{111,}' $(SOURCES) || (echo 'lines over 110 characters'; exit 1)
+
+# One node; NODE_CONFIG names its configuration (README).
+run: build
+	exec build/canvasstage
+
+clean:
+	rm -rf build build-ci build-tsan
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -240,15 +240,16 @@
 void Node::executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
                            std::string_view kind, int cell, Standing standing, Time started) {
   now_ = now;
-  const auto [found, added] = executor_indices_.try_emplace(std::string(id), static_cast<int>(places_.size()));
+  const auto [found, added] =
+      executor_indices_.try_emplace(std::string(id), static_cast<int>(places_.size()));
   const int index = found->second;
   if (added) places_.emplace_back();
   Place& place = places_[index];
   const bool restarted = !added && started > policy_.executors[index].started;
   if (standing == Standing::kGone || restarted || place.address != address) close_free_links(index);
   place.address = address;
-  policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind), cell,
-                          standing, started);
+  policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind),
+                          cell, standing, started);
 }
 
 void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -1,5 +1,5 @@
-// One node without I/O: the ids of its submissions, launches and executors, its connections by number, and the
-// module that decides for it. Runs on one thread; one method for each thing that can happen.
+// One node without I/O: the ids of its submissions, launches and executors, its connections by number, and
+// the module that decides for it. Runs on one thread; one method for each thing that can happen.
 #pragma once
 
 #include <deque>
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -108,8 +108,7 @@
   if (!cases.IsArray() || cases.Empty()) bad("useCases: a list is needed");
   for (rapidjson::SizeType i = 0; i < cases.Size(); ++i) {
     terms.use_cases.emplace_back(text(needed(cases[i], "name"), "useCases.name"));
-    terms.longest_hard_limit =
-        std::max(terms.longest_hard_limit, to_time(setting(cases[i], "hardLimit", 0)));
+    terms.longest_hard_limit = std::max(terms.longest_hard_limit, to_time(setting(cases[i], "hardLimit", 0)));
     s.use_cases.push_back(decode_use_case(cases[i], domain, i));
   }
   const JsonValue& locality = member(settings, "locality");
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -92,9 +92,12 @@
         return Progress::kMore;
       }
       if (digits_ == 0) return Progress::kBad;
-      if (c == '\r') state_ = State::kSizeEnd;
-      else if (c == ';' || c == ' ' || c == '\t') state_ = State::kExtension;
-      else return Progress::kBad;
+      if (c == '\r')
+        state_ = State::kSizeEnd;
+      else if (c == ';' || c == ' ' || c == '\t')
+        state_ = State::kExtension;
+      else
+        return Progress::kBad;
       return Progress::kMore;
     case State::kExtension:
       if (c == '\n') return Progress::kBad;
@@ -132,7 +135,8 @@
   const std::size_t from = looked_ < kEnd.size() ? 0 : looked_ - kEnd.size() + 1;
   const std::size_t end = bytes.find(kEnd, from);
   looked_ = bytes.size();
-  if (end == std::string_view::npos) return bytes.size() > kMostHead ? Progress::kHeadTooLarge : Progress::kMore;
+  if (end == std::string_view::npos)
+    return bytes.size() > kMostHead ? Progress::kHeadTooLarge : Progress::kMore;
   size_ = end + kEnd.size();
   if (size_ > kMostHead) return Progress::kHeadTooLarge;
   std::string_view lines = bytes.substr(0, end + 2);
@@ -204,8 +208,10 @@
   keep_alive = http_1_0_ ? lists(connection, "keep-alive") : !lists(connection, "close");
   framing = chunked ? Framing::kChunked : has_length ? Framing::kLength : Framing::kNone;
   if (kind_ == Kind::kAnswer) {
-    if (status < 200 || status == 204 || status == 304) framing = Framing::kNone;
-    else if (framing == Framing::kNone) framing = Framing::kUntilClose;
+    if (status < 200 || status == 204 || status == 304)
+      framing = Framing::kNone;
+    else if (framing == Framing::kNone)
+      framing = Framing::kUntilClose;
     if (framing == Framing::kUntilClose) keep_alive = false;
   }
   return true;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -24,8 +24,19 @@
   bool done() const { return state_ == State::kDone; }
 
  private:
-  enum class State { kData, kSize, kExtension, kSizeEnd, kChunk, kChunkReturn, kChunkEnd, kTrailer,
-                     kTrailerLine, kTrailerReturn, kDone };
+  enum class State {
+    kData,
+    kSize,
+    kExtension,
+    kSizeEnd,
+    kChunk,
+    kChunkReturn,
+    kChunkEnd,
+    kTrailer,
+    kTrailerLine,
+    kTrailerReturn,
+    kDone
+  };
   Progress read_frame(char c);
 
   State state_ = State::kDone;
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -4,15 +4,24 @@
 
 std::string_view reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 413: return "Content Too Large";
-    case 431: return "Request Header Fields Too Large";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    default: return "Other";
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Other";
   }
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,7 +19,8 @@
 
 constexpr const char* kUsage =
     "usage: canvasstage [--help | --version]\n"
-    "One node. NODE_CONFIG names its configuration; NODE_LISTEN and NODE_DISCOVERY, where set, go before it.\n";
+    "One node. NODE_CONFIG names its configuration; NODE_LISTEN and NODE_DISCOVERY, where set, go before "
+    "it.\n";
 
 rapidjson::Document read_config(const char* path) {
   std::ifstream file(path);
@@ -73,8 +74,8 @@
   net::Server server(world, net::listen_on(setting("NODE_LISTEN", config, "listen")),
                      setting("NODE_DISCOVERY", config, "discovery"));
   const Time start = net::now();
-  node = std::make_unique<Node>(std::move(settings), terms, limit(config, "sockets"), read_seed(config), server,
-                                start);
+  node = std::make_unique<Node>(std::move(settings), terms, limit(config, "sockets"), read_seed(config),
+                                server, start);
   seen = node.get();
   const JsonValue& known = member(config, "known");
   if (known.IsObject()) net::take_list(*node, start, known, true);
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -24,7 +24,8 @@
   if (text.size() < 2) return false;
   const char unit = text.back();
   std::uint64_t value = 0;
-  if ((unit != 'm' && unit != 'u') || !http::read_number(text.substr(0, text.size() - 1), value)) return false;
+  if ((unit != 'm' && unit != 'u') || !http::read_number(text.substr(0, text.size() - 1), value))
+    return false;
   constexpr std::uint64_t kMost = std::uint64_t{1} << 40;
   if (value > kMost) return false;
   left = unit == 'm' ? static_cast<Time>(value) * (kSecond / 1000)
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -17,7 +17,9 @@
 constexpr std::size_t kMostLine = 8 * 1024 * 1024;
 
 Standing standing_of(std::string_view lifecycle) {
-  return lifecycle == "active" ? Standing::kReady : lifecycle == "leaving" ? Standing::kDraining : Standing::kGone;
+  return lifecycle == "active"    ? Standing::kReady
+         : lifecycle == "leaving" ? Standing::kDraining
+                                  : Standing::kGone;
 }
 
 void check_entry(const JsonValue& entry) {
@@ -99,8 +101,10 @@
     char part[4096];
     const long n = socket_.read(part, sizeof part);
     if (n > 0) bytes.append(part, static_cast<std::size_t>(n));
-    return n > 0 ? Reason::kPeerClosed
-                 : n == 0 ? Reason::kRefused : errno == EAGAIN ? Reason::kSilent : Reason::kPeerBroke;
+    return n > 0             ? Reason::kPeerClosed
+           : n == 0          ? Reason::kRefused
+           : errno == EAGAIN ? Reason::kSilent
+                             : Reason::kPeerBroke;
   };
   http::Head head(http::Head::Kind::kAnswer);
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
@@ -141,6 +145,7 @@
     if (self->given_up_) return;
     try {
       take_list(*self->world_.node, now, *list, false);
+      log_note("roster taken, version " + std::to_string((*list)["generation"].GetUint64()));
     } catch (const BadInput& input) {
       log_note(std::string("discovery: ") + input.what());
       self->give_up();
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -18,7 +18,8 @@
 constexpr Milliseconds kMostTail{200};
 
 double waiting_of(const JsonValue& load) {
-  const JsonValue& waiting = member(load, "backlog").IsNull() ? member(load, "queue") : member(load, "backlog");
+  const JsonValue& waiting =
+      member(load, "backlog").IsNull() ? member(load, "queue") : member(load, "backlog");
   return waiting.IsNumber() ? waiting.GetDouble() : -1;
 }
 
@@ -73,10 +74,11 @@
                                   Ending& ending) {
   ending.told = true;
   ending.kept = kept;
-  world_.reducer.post([&world = world_, id = work_.id, outcome, result = std::move(result), kept, waiting](Time now) {
-    const Load load{waiting};
-    world.node->launch_ended(now, id, outcome, result, kept, waiting >= 0 ? &load : nullptr);
-  });
+  world_.reducer.post(
+      [&world = world_, id = work_.id, outcome, result = std::move(result), kept, waiting](Time now) {
+        const Load load{waiting};
+        world.node->launch_ended(now, id, outcome, result, kept, waiting >= 0 ? &load : nullptr);
+      });
 }
 
 bool ExecutorConnection::stale() const {
@@ -146,8 +148,10 @@
 
 bool ExecutorConnection::read_more(char* data, std::size_t& size, Ending& ending) {
   const long n = size < Buffer::kSize ? socket_.read(data + size, Buffer::kSize - size) : 0;
-  if (n > 0) size += static_cast<std::size_t>(n);
-  else ending.reason = n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+  if (n > 0)
+    size += static_cast<std::size_t>(n);
+  else
+    ending.reason = n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
   return n > 0;
 }
 
@@ -229,9 +233,8 @@
     world_.reducer.post([&world = world_, id = work_.id](Time now) { world.node->launch_started(now, id); });
   } else if (word == "running") {
     const JsonValue& share = member(object, "share");
-    world_.reducer.post([&world = world_, id = work_.id, done = share.IsNumber() ? share.GetDouble() : 0](Time now) {
-      world.node->launch_progressed(now, id, done);
-    });
+    world_.reducer.post([&world = world_, id = work_.id, done = share.IsNumber() ? share.GetDouble() : 0](
+                            Time now) { world.node->launch_progressed(now, id, done); });
   } else if (word == "done" && member(object, "result").IsString()) {
     const std::string_view content = text(member(object, "result"), "result");
     auto result = std::make_shared<Result>();
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -1,5 +1,5 @@
-// A connection to an executor. Its thread waits for a launch, connects, writes, reads to the end of the answer
-// and tells the reducer what it saw; then it waits for the next.
+// A connection to an executor. Its thread waits for a launch, connects, writes, reads to the end of the
+// answer and tells the reducer what it saw; then it waits for the next.
 #pragma once
 
 #include <condition_variable>
@@ -34,8 +34,8 @@
   };
   struct Ending {
     Outcome outcome = Outcome::kBroken;
-    bool told = false;  // the reducer knows
-    bool kept = false;  // the connection can carry another
+    bool told = false;   // the reducer knows
+    bool kept = false;   // the connection can carry another
     bool whole = false;  // the answer was read to its end
     Reason reason = Reason::kPeerBroke;
   };
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -17,8 +17,9 @@
 
 std::string_view name_of(Reason reason) {
   static constexpr std::string_view kNames[] = {
-      "peer_closed", "peer_broke",  "left_while_open", "answered_last", "idle",     "bad_message", "too_large",
-      "no_room",     "unreachable", "send_failed",     "given_up",      "no_reuse", "silent",      "refused"};
+      "peer_closed", "peer_broke", "left_while_open", "answered_last", "idle",
+      "bad_message", "too_large",  "no_room",         "unreachable",   "send_failed",
+      "given_up",    "no_reuse",   "silent",          "refused"};
   return kNames[static_cast<int>(reason)];
 }
 
@@ -36,8 +37,8 @@
 }
 
 void stop_log() {
+  spdlog::shutdown();  // joins the thread that writes
   logger.reset();
-  spdlog::shutdown();
 }
 
 void log_connection_end(Side side, std::uint64_t id, std::string_view peer, Reason reason) {
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -10,8 +10,7 @@
 
 struct Epoch {
   std::chrono::steady_clock::time_point steady = std::chrono::steady_clock::now();
-  Time unix_time =
-      std::chrono::floor<Unit>(std::chrono::system_clock::now().time_since_epoch()).count();
+  Time unix_time = std::chrono::floor<Unit>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
 const Epoch& epoch() {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -16,6 +16,7 @@
     : world_(world), listener_(std::move(listener)), discovery_(std::move(discovery)) {}
 
 void Server::start() {
+  log_note("listening on " + listener_.address());
   writers_.start();
   if (!start_thread([this] { listen(); })) throw std::runtime_error("no thread to be had for the listener");
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -51,6 +51,15 @@
   if (fd_ >= 0) ::close(fd_);
 }
 
+std::string Socket::address() const {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  char text[INET_ADDRSTRLEN] = "";
+  ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+  inet_ntop(AF_INET, &at.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(at.sin_port));
+}
+
 void Socket::limit_sending(Milliseconds value) const {
   limit(fd_, SO_SNDTIMEO, value);
 }
@@ -88,8 +97,8 @@
   const long sent = write_some(first, second);
   if (sent < 0) return false;
   const std::size_t done = static_cast<std::size_t>(sent);
-  for (std::string_view part : {first.substr(std::min(done, first.size())),
-                                second.substr(done - std::min(done, first.size()))})
+  for (std::string_view part :
+       {first.substr(std::min(done, first.size())), second.substr(done - std::min(done, first.size()))})
     while (!part.empty()) {
       const ssize_t n = ::send(fd_, part.data(), part.size(), MSG_NOSIGNAL);
       if (n < 0 && errno == EINTR) continue;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -24,6 +24,7 @@
 
   int fd() const { return fd_; }
   bool open() const { return fd_ >= 0; }
+  std::string address() const;  // its own
   void limit_sending(Milliseconds limit) const;
   void limit_reading(Milliseconds limit) const;  // 0: none
   // Fills what it can: -1 with errno, or 0 at the end of the stream.
--- a/src/policy.h
+++ b/src/policy.h
@@ -161,7 +161,7 @@
   Time keep_until(Time now, const Submission& submission);
 
   std::vector<Executor> executors;
-  std::vector<int> contacts;  // executors that may have a connection of ours
+  std::vector<int> contacts;            // executors that may have a connection of ours
   std::vector<Submission> submissions;  // by the index that the adapter gives; reused
 
  private:
@@ -207,12 +207,12 @@
   std::vector<int> held_;                   // submissions without a launch, in order of arrival
   std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
   std::vector<ZoneDelay> zones_;
-  DecayingSum arrivals_, waited_;  // of late, all and those that waited until their chance fell
+  DecayingSum arrivals_, waited_;         // of late, all and those that waited until their chance fell
   DecayingSum asked_value_, asked_work_;  // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;       // seconds until launches began, and how many
   double speed_sum_ = 0;                  // of the ready executors whose speed is known
   int speed_count_ = 0;
-  std::uint64_t list_ = 0;                // counts the lists, to tell who is absent from a whole one
+  std::uint64_t list_ = 0;  // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
   Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -1,9 +1,24 @@
-// A host that writes down what it was asked to do, and the smallest settings and fleet for a test.
+// A host and effects that write down what they were asked to do, the smallest settings and fleet for a test,
+// and stand-ins for what a real node speaks to.
 #pragma once
 
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "core/node.h"
+#include "net/socket.h"
 #include "policy.h"
 
 namespace canvasstage {
@@ -50,8 +65,8 @@
   return settings;
 }
 
-struct Node {
-  explicit Node(int executors, Settings settings = small_settings())
+struct Decider {
+  explicit Decider(int executors, Settings settings = small_settings())
       : policy(std::move(settings), host, 1, kNow) {
     for (int i = 0; i < executors; ++i) policy.executor_listed(kNow, i, i % 2, 0, i, Standing::kReady, 0);
     policy.roster_arrived(kNow, RosterForm::kWhole);
@@ -68,4 +83,268 @@
   Policy policy;
 };
 
+// --- The core ---
+
+struct FakeEffects : Effects {
+  struct Launched {
+    Id id, over;
+    std::string address;
+  };
+  std::vector<Launched> launches;
+  std::vector<std::pair<Id, Answer>> answers;
+  std::vector<bool> lasts;
+  std::vector<Id> closed, given_up;
+  std::vector<std::pair<Time, std::uint64_t>> timers;
+  int watches = 0;
+  bool listening = true, running = true;
+  void answer(Id client, Answer answer, const ParcelRef&, Time, bool last) override {
+    answers.emplace_back(client, answer);
+    lasts.push_back(last);
+  }
+  void close_client(Id client) override { closed.push_back(client); }
+  void launch(Id id, Id over, const std::string& address, const ParcelRef&, Time) override {
+    launches.push_back({id, over, address});
+  }
+  void give_up(Id launch) override { given_up.push_back(launch); }
+  void watch_roster(std::uint64_t) override { ++watches; }
+  void wake_at(Time when, std::uint64_t token) override { timers.emplace_back(when, token); }
+  void close_listener() override { listening = false; }
+  void finish() override { running = false; }
+};
+
+struct Core {
+  explicit Core(int executors, int descriptors = 1024, Settings settings = small_settings())
+      : node(std::move(settings), terms(), descriptors, 1, effects, kNow) {
+    for (int i = 0; i < executors; ++i) list(i, Standing::kReady);
+    node.roster_arrived(kNow, RosterForm::kWhole, 1);
+  }
+  static Terms terms() {
+    Terms t;
+    t.zones = {"a", "b"};
+    t.machine_kinds = {"m"};
+    t.longest_hard_limit = 15 * kSecond;
+    return t;
+  }
+  void list(int i, Standing standing, Time now = kNow) {
+    const std::string name = std::to_string(i);
+    node.executor_listed(now, "s-" + name, "host:" + name, i % 2 == 0 ? "a" : "b", "m", i, standing, 0);
+  }
+  // A client of its own hands it in.
+  void arrive(Id client, int use_case, Time now = kNow) {
+    node.client_opened(now, client);
+    node.submission_arrived(now, client, use_case, now + 5 * kSecond, 0, 1, nullptr);
+  }
+  void end(Id launch, Outcome outcome, Time now, bool kept = false) {
+    node.launch_ended(now, launch, outcome, nullptr, kept, nullptr);
+  }
+  // Every timer up to then falls due, in order of time.
+  void run_until(Time then) {
+    for (;;) {
+      auto next = effects.timers.end();
+      for (auto t = effects.timers.begin(); t != effects.timers.end(); ++t)
+        if (t->first <= then && (next == effects.timers.end() || t->first < next->first)) next = t;
+      if (next == effects.timers.end()) return;
+      const auto [when, token] = *next;
+      effects.timers.erase(next);
+      node.timer_due(when, token);
+    }
+  }
+  FakeEffects effects;
+  canvasstage::Node node;
+};
+
+// --- Over sockets ---
+
+// One end of a connection. Waits for what is to come, and fails the test that waits in vain.
+class Peer {
+ public:
+  explicit Peer(net::Socket socket) : socket_(std::move(socket)) {
+    socket_.limit_reading(std::chrono::seconds(10));
+  }
+  static Peer to(const std::string& address) {
+    net::Socket socket = net::new_socket();
+    if (net::connect_to(socket, address) != 0) throw std::runtime_error("cannot connect to " + address);
+    return Peer(std::move(socket));
+  }
+  Peer& write(const std::string& bytes) {
+    socket_.write(bytes, {});
+    return *this;
+  }
+  // Up to and with these bytes; what came first if the stream ends before them.
+  std::string read_until(const std::string& mark) {
+    std::size_t at;
+    while ((at = held_.find(mark)) == std::string::npos) {
+      char part[4096];
+      const long n = socket_.read(part, sizeof part);
+      if (n < 0 && errno == EAGAIN) throw std::runtime_error("nothing came; so far: " + held_);
+      if (n <= 0) return std::exchange(held_, "");
+      held_.append(part, static_cast<std::size_t>(n));
+    }
+    std::string result = held_.substr(0, at + mark.size());
+    held_.erase(0, at + mark.size());
+    return result;
+  }
+  std::string read_to_end() { return read_until("\x01 never sent"); }
+  // A message with Content-Length.
+  std::string read_message() {
+    std::string head = read_until("\r\n\r\n");
+    const std::size_t at = head.find("Content-Length: ");
+    if (at == std::string::npos) return head;
+    const std::size_t length = std::stoul(head.substr(at + 16));
+    while (held_.size() < length) {
+      char part[4096];
+      const long n = socket_.read(part, sizeof part);
+      if (n <= 0) break;
+      held_.append(part, static_cast<std::size_t>(n));
+    }
+    head += held_.substr(0, length);
+    held_.erase(0, std::min(length, held_.size()));
+    return head;
+  }
+  void write_line(const std::string& json) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx", json.size() + 1);
+    write(std::string(size) + "\r\n" + json + "\n\r\n");
+  }
+  void begin_lines() { write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+  void end_lines() { write("0\r\n\r\n"); }
+  void finish_job(const std::string& result) {
+    begin_lines();
+    write_line(R"({"state":"started"})");
+    write_line(R"({"state":"done","result":")" + result + "\"}");
+    end_lines();
+  }
+  // Ends it at once: with a reset where bytes are unread.
+  void close() { socket_ = net::Socket(); }
+
+ private:
+  net::Socket socket_;
+  std::string held_;
+};
+
+class Listener {
+ public:
+  Listener() : socket_(net::listen_on("127.0.0.1:0")) {
+    socket_.limit_reading(std::chrono::seconds(10));
+    address = socket_.address();
+  }
+  Peer accept() {
+    net::Socket socket(::accept(socket_.fd(), nullptr, nullptr));
+    if (!socket.open()) throw std::runtime_error("nobody connected to " + address);
+    return Peer(std::move(socket));
+  }
+  bool nobody_waits() {
+    socket_.limit_reading(std::chrono::milliseconds(1));
+    const net::Socket socket(::accept(socket_.fd(), nullptr, nullptr));
+    return !socket.open();
+  }
+  void close() { socket_ = net::Socket(); }
+  std::string address;
+
+ private:
+  net::Socket socket_;
+};
+
+// The program, with stand-ins for discovery and two executors that its remembered list names.
+class Running {
+ public:
+  explicit Running(int sockets = 256, const std::string& listen = "127.0.0.1:0",
+                   const std::string& seed = "7") {
+    char folder[] = "/tmp/canvasstage-test-XXXXXX";
+    if (mkdtemp(folder) == nullptr) throw std::runtime_error("no folder");
+    folder_ = folder;
+    std::ofstream(folder_ + "/config.json") << config(sockets, listen, seed);
+    if (pipe(out_) != 0) throw std::runtime_error("no pipe");
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(out_[1], 1);
+      dup2(out_[1], 2);
+      ::close(out_[0]);
+      ::close(out_[1]);
+      setenv("NODE_CONFIG", (folder_ + "/config.json").c_str(), 1);
+      execl(CANVASSTAGE_PROGRAM, CANVASSTAGE_PROGRAM, nullptr);
+      _exit(127);
+    }
+    ::close(out_[1]);
+    if (wait_for_log("listening on ")) address = log_.substr(log_.rfind(' ') + 1);
+  }
+  ~Running() {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    ::close(out_[0]);
+    std::remove((folder_ + "/config.json").c_str());
+    rmdir(folder_.c_str());
+  }
+  void stop(int signal = SIGTERM) { kill(pid_, signal); }
+  // The exit code; -1: it was killed.
+  int wait() {
+    int status = 0;
+    waitpid(std::exchange(pid_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  // Reads log lines up to one that holds these words; false: it ended first.
+  bool wait_for_log(const std::string& words) {
+    do {
+      log_.clear();
+      char c;
+      while (::read(out_[0], &c, 1) == 1 && c != '\n') log_ += c;
+      output_ += log_ + '\n';
+      if (log_.find(words) != std::string::npos) return true;
+    } while (!log_.empty());
+    return false;
+  }
+  const std::string& output() const { return output_; }  // all that was read of it
+  Peer client() { return Peer::to(address); }
+  static std::string job(const std::string& use_case, const std::string& id,
+                         const std::string& left = "4000m", const std::string& body = "body") {
+    return "POST /" + use_case + "/7?q=%41 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: " + id +
+           "\r\nX-Account: t\r\nX-Time-Left: " + left + "\r\nIdempotency-Key: k-" + id +
+           "\r\nX-Facts: slots=1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  // What the node wrote to discovery, after which the watch answers with these entries and stays open.
+  Peer accept_watch(const std::string& entries, bool whole = true) {
+    Peer watch = discovery.accept();
+    watch.read_until("\r\n\r\n");
+    watch.begin_lines();
+    tell(watch, entries, whole);
+    return watch;
+  }
+  static void tell(Peer& watch, const std::string& entries, bool whole) {
+    watch.write_line(std::string(R"({"generation":2,"reset":)") + (whole ? "true" : "false") +
+                     R"(,"instances":[)" + entries + "]}");
+  }
+  static std::string entry(const std::string& id, const std::string& address,
+                           const std::string& lifecycle = "active") {
+    return R"({"instanceId":")" + id + R"(","hostPort":")" + address +
+           R"(","zone":"a","machineType":"m","cell":1,"lifecycle":")" + lifecycle +
+           R"(","weight":1.0,"startedAtMs":0})";
+  }
+
+  Listener discovery, first, second;
+  std::string address;
+
+ private:
+  std::string config(int sockets, const std::string& listen, const std::string& seed) const {
+    return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery.address +
+           R"(","seed":")" + seed + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
+           std::to_string(sockets) + R"(},"known":{"generation":1,"reset":true,"instances":[)" +
+           entry("s-1", first.address) + "," + entry("s-2", second.address) + R"(]},"settings":{
+      "zones":["a"],"shapes":["m"],"locality":"a","replicasOfMe":2,"quantum":0.002,"membershipMode":"ask",
+      "caps":{"mostLaunches":5,"connIdle":30,"connectTimeout":0.25,"cancelling":true},
+      "domain":{"tellsStart":true,"progress":2},
+      "guarantees":{"askWithin":2,"coldFrom":0.3,"warmUp":8,"fallMultiple":3,"overloadFor":1.5,
+        "drainGrace":1.5},
+      "useCases":[
+        {"name":"lookup","agreedTime":1,"hardLimit":5,"semantics":"free","overdueBillingValue":0.5},
+        {"name":"phase-run","agreedTime":1,"hardLimit":5,"semantics":"guarded","group":"all","window":25},
+        {"name":"charge","agreedTime":1,"hardLimit":5,"semantics":"single_shot",
+          "overdueBillingValue":0.5}]}})";
+  }
+  std::string folder_, log_, output_;
+  int out_[2] = {-1, -1};
+  pid_t pid_ = -1;
+};
+
 }  // namespace canvasstage
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -25,13 +25,13 @@
 }
 
 TEST(Pick, NoExecutorGivesNone) {
-  Node node(0);
+  Decider node(0);
   node.arrive(0, 0);
   EXPECT_TRUE(node.host.launches.empty());
 }
 
 TEST(Pick, OfTwoTheLeastFinishWins) {
-  Node node(2);
+  Decider node(2);
   node.policy.executors[0].open_cost = 3;
   node.arrive(0, 0);
   ASSERT_EQ(node.host.launches.size(), 1u);
@@ -39,7 +39,7 @@
 }
 
 TEST(Speed, NewExecutorStartsAtTheOthersMean) {
-  Node node(3);
+  Decider node(3);
   node.policy.executors[0].work = node.policy.executors[1].work = 1;
   node.policy.executors[0].latency = 1;
   node.policy.executors[1].latency = 0.25;
@@ -48,7 +48,7 @@
 }
 
 TEST(Speed, OnlySatisfiedLaunchesTeach) {
-  Node node(1);
+  Decider node(1);
   node.arrive(0, 0);
   node.policy.launch_ended(kNow + kSecond, 0, 0, Outcome::kErrored, kSecond, false, nullptr);
   EXPECT_EQ(node.policy.executors[0].latency, 0);
@@ -57,14 +57,14 @@
 // --- The rules ---
 
 TEST(Rule1, LaunchOfAnEndedSubmissionIsRefused) {
-  Node node(2);
+  Decider node(2);
   node.arrive(0, 0);
   node.policy.launch_ended(kNow + 100, 0, 0, Outcome::kSatisfied, 100, true, nullptr);
   EXPECT_FALSE(node.policy.may_launch(kNow + 100, node.policy.submissions[0], 1));
 }
 
 TEST(Rule1, TimeOutAtTheHardLimitIsAnswered) {
-  Node node(1);
+  Decider node(1);
   node.arrive(0, 2);
   const Time due = kNow + 5 * kSecond;
   node.policy.launch_ended(due, 0, 0, Outcome::kTimedOut, 5 * kSecond, false, nullptr);
@@ -73,7 +73,7 @@
 }
 
 TEST(Rule1, HeldUntilTheHardLimitIsPushedBack) {
-  Node node(0);
+  Decider node(0);
   node.arrive(0, 2);
   const Time due = kNow + 5 * kSecond;
   node.look_at(0, due - 40);
@@ -81,7 +81,7 @@
 }
 
 TEST(Rule2, SingleUseThatMayHaveRunIsAborted) {
-  Node node(2);
+  Decider node(2);
   node.arrive(0, 2);
   node.policy.launch_ended(kNow + 100, 0, 0, Outcome::kBroken, 100, false, nullptr);
   EXPECT_EQ(node.host.launches.size(), 1u);
@@ -89,14 +89,14 @@
 }
 
 TEST(Rule2, SingleUseKnownNotToHaveRunGoesAgain) {
-  Node node(2);
+  Decider node(2);
   node.arrive(0, 2);
   node.policy.launch_ended(kNow + 100, 0, 0, Outcome::kTurnedAway, 100, false, nullptr);
   EXPECT_EQ(node.host.launches.size(), 2u);
 }
 
 TEST(Rule2, ReferencedStaysWithinGroupAndWindow) {
-  Node node(4);
+  Decider node(4);
   node.arrive(0, 1);
   const int first = node.host.launches[0].executor;
   node.policy.submissions[0].launches[0].pending = false;
@@ -109,7 +109,7 @@
 TEST(Rule2, NoSecondCopyWhereNoneIsAllowed) {
   Settings settings = small_settings();
   settings.second_copies = false;
-  Node node(2, settings);
+  Decider node(2, settings);
   node.arrive(0, 0);
   EXPECT_FALSE(node.policy.may_launch(kNow, node.policy.submissions[0], 1 - node.host.launches[0].executor));
 }
@@ -117,7 +117,7 @@
 TEST(Rule2, ReferencedStaysWithinItsCell) {
   Settings settings = small_settings();
   settings.use_cases[1].group = Group::kCell;
-  Node node(4, settings);
+  Decider node(4, settings);
   node.arrive(0, 1);
   const int first = node.host.launches[0].executor;
   node.policy.submissions[0].launches[0].pending = false;
@@ -126,7 +126,7 @@
 }
 
 TEST(Rule2, NoMoreLaunchesThanAllowed) {
-  Node node(1);
+  Decider node(1);
   node.arrive(0, 0);
   Submission& submission = node.policy.submissions[0];
   submission.launches[0].pending = false;
@@ -139,13 +139,13 @@
 TEST(Pick, AUseCaseBoundToAMachineKindGoesToNoOther) {
   Settings settings = small_settings();
   settings.use_cases[0].machine_kind = 1;
-  Node node(2, settings);
+  Decider node(2, settings);
   node.arrive(0, 0);
   EXPECT_TRUE(node.host.launches.empty());
 }
 
 TEST(Rule3, NothingGoesToOneThatDrainsOrIsAbsent) {
-  Node node(3);
+  Decider node(3);
   node.policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kDraining, 0);
   node.policy.executor_listed(kNow, 1, 1, 0, 1, Standing::kReady, 0);
   node.policy.roster_arrived(kNow, RosterForm::kWhole);
@@ -156,7 +156,7 @@
 }
 
 TEST(Rule4, ABurstToAColdExecutorStopsAtTheBudget) {
-  Node node(0);
+  Decider node(0);
   node.policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, kNow);
   node.policy.roster_arrived(kNow, RosterForm::kChanges);
   int sent = 0;
@@ -210,14 +210,14 @@
 }
 
 TEST(List, ARestartedExecutorIsANewOne) {
-  Node node(1);
+  Decider node(1);
   node.policy.executors[0].bad.add(kNow, kSecond, 5);
   node.policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, kNow - 1);
   EXPECT_EQ(node.policy.executors[0].bad.value, 0);
 }
 
 TEST(Delay, IsTheGapOfShortestFirstWordsAndZeroWhileUnheardOf) {
-  Node node(2);
+  Decider node(2);
   for (const int i : {0, 1}) node.arrive(i, 0);
   const Executor& there = node.policy.executors[1];
   const int first = node.host.launches.at(0).executor == 1 ? 0 : 1;  // the submission that went there
@@ -230,7 +230,7 @@
 }
 
 TEST(Pick, TheReportedQueueLessOursCounts) {
-  Node node(2);
+  Decider node(2);
   node.policy.executors[0].load.waiting = 4;
   node.policy.executors[0].load_at = kNow;
   node.arrive(0, 0);
@@ -243,7 +243,7 @@
 
 // --- Health ---
 
-int picks_of(Node& node, int executor, int tries) {
+int picks_of(Decider& node, int executor, int tries) {
   node.policy.submissions.resize(1);
   Submission& submission = node.policy.submissions[0];
   submission.open = true;
@@ -256,7 +256,7 @@
 
 // One that fails at once has an empty queue, yet must not win; a draw now and then still tries it.
 TEST(Health, AnExecutorThatErrsIsSeldomPickedButNotForgotten) {
-  Node node(3);
+  Decider node(3);
   for (const int other : {1, 2}) node.policy.executors[other].open_cost = 5;
   node.policy.executors[0].bad.add(kNow, kSecond, 3);
   const int picks = picks_of(node, 0, 1000);
@@ -265,7 +265,7 @@
 }
 
 TEST(Health, IfAllLookBadWorkStillFlows) {
-  Node node(2);
+  Decider node(2);
   for (Executor& executor : node.policy.executors) executor.bad.add(kNow, kSecond, 1000);
   node.arrive(0, 0);
   EXPECT_EQ(node.host.launches.size(), 1u);
@@ -274,7 +274,7 @@
 // --- Further launches ---
 
 TEST(Further, ALaunchThatDoesNotBeginSeeksAFreeSlotElsewhere) {
-  Node node(2);
+  Decider node(2);
   node.arrive(0, 0);
   node.look_at(0, kNow + kSecond / 2);
   ASSERT_EQ(node.host.launches.size(), 2u);
@@ -288,7 +288,7 @@
   for (const bool cost : {true, false}) {
     Settings settings = small_settings();
     settings.connections_cost = cost;
-    Node node(5, settings);
+    Decider node(5, settings);
     node.arrive(0, 0);
     for (int i = 1; i < 5; ++i) node.look_at(0, kNow + i * kSecond / 2);
     EXPECT_EQ(node.host.launches.size(), cost ? 2u : 3u);
@@ -296,14 +296,14 @@
 }
 
 TEST(Further, SingleUseHasNoSecondCopy) {
-  Node node(2);
+  Decider node(2);
   node.arrive(0, 2);
   node.look_at(0, kNow + kSecond / 2);
   EXPECT_EQ(node.host.launches.size(), 1u);
 }
 
 TEST(Further, AResultAfterTheAnswerChangesNothing) {
-  Node node(2);
+  Decider node(2);
   node.arrive(0, 0);
   node.policy.client_left(kNow + 1, 0);
   node.policy.launch_ended(kNow + 2, 0, 0, Outcome::kErrored, 2, true, nullptr);
@@ -316,7 +316,7 @@
 
 // Two of every node's launches waiting at every executor made all answers late.
 TEST(Overload, OneUnstartedLaunchWaitsAtAnExecutorTheRestAtTheNode) {
-  Node node(2);
+  Decider node(2);
   for (int i = 0; i < 5; ++i) node.arrive(i, 2);
   EXPECT_EQ(node.host.launches.size(), 2u);
   node.policy.launch_started(kNow + 10, 0, 0);
@@ -326,7 +326,7 @@
 TEST(Overload, WhatWouldBeLateIsAnsweredAtOnceNotAtItsHardLimit) {
   Settings settings = small_settings();
   settings.use_cases[0].agreed_time = kSecond / 10;
-  Node node(1, settings);
+  Decider node(1, settings);
   for (int i = 0; i < 2; ++i) node.arrive(i, 0);
   node.policy.timer_due(kNow + 2 * kSecond, 0);
   EXPECT_EQ(node.host.pushed_back, std::vector<int>{1});
@@ -334,7 +334,7 @@
 
 // The index of one that left while held is used again; the next one must not be held, and so launched, twice.
 TEST(Overload, AnIndexUsedAgainIsHeldOnce) {
-  Node node(0);
+  Decider node(0);
   node.arrive(0, 0);
   node.policy.client_left(kNow + 1, 0);
   node.arrive(0, 0);
@@ -347,14 +347,14 @@
 TEST(Overload, WhatIsWorthMoreForItsWorkIsKeptLonger) {
   Settings settings = small_settings();
   settings.use_cases[2].billing_value = 8;
-  Node node(1, settings);
+  Decider node(1, settings);
   for (int i = 0; i < 3; ++i) node.arrive(i, i);
   EXPECT_LT(node.policy.keep_until(kNow, node.policy.submissions[1]),
             node.policy.keep_until(kNow, node.policy.submissions[2]));
 }
 
 TEST(Overload, ALongWaitLastSeenLeavesNoRoom) {
-  Node node(1);
+  Decider node(1);
   node.policy.executors[0].wait.value = 4.9;
   node.policy.executors[0].wait.at = kNow;
   node.arrive(0, 0);
@@ -366,7 +366,7 @@
   Settings settings = small_settings();
   settings.use_cases[0].agreed_time = kSecond / 10;
   settings.use_cases[0].overdue_value = 0.5;  // out of overload kept until its hard limit
-  Node node(1, settings);
+  Decider node(1, settings);
   node.arrive(0, 0);
   node.policy.executors[0].open_cost = 0;
   node.look_at(0, kNow + kSecond / 5);
@@ -378,7 +378,7 @@
   Settings settings = small_settings();
   settings.use_cases[0].agreed_time = kSecond / 10;
   settings.use_cases[2].billing_value = 8;
-  Node node(1, settings);
+  Decider node(1, settings);
   for (const int i : {0, 1}) node.arrive(i, 2 * i);
   EXPECT_GT(node.policy.keep_until(kNow, node.policy.submissions[0]), kNow);
   node.look_at(0, kNow + kSecond / 5);
@@ -390,7 +390,7 @@
 // A scan of more than a thousand executors for every launch cost more than a node may spend; where the look
 // ends early, the last of the roster must not be left out.
 TEST(Pick, AFewOfALargeFleetAreLookedAtButNoneIsLeftOut) {
-  Node node(300);
+  Decider node(300);
   int beyond = 0;
   for (int i = 0; i < 100; ++i) {
     node.arrive(i, 0);
@@ -405,7 +405,7 @@
 TEST(Connections, WhileTwoConnectedExecutorsHaveRoomNoOtherIsReady) {
   Settings settings = small_settings();
   settings.connection_idle = 10 * kSecond;
-  Node node(6, settings);
+  Decider node(6, settings);
   for (const int i : {1, 4}) {
     node.policy.executors[i].connections = 1;
     node.policy.executors[i].used = kNow;
@@ -418,12 +418,13 @@
   EXPECT_GT(picks_of(node, 0, 100), 0);
 }
 
-// A launch that is taken back closes its connection; counting it as free would hide the price of the next one.
+// A launch that is taken back closes its connection; counting it as free would hide the price of the next
+// one.
 TEST(Connections, OneThatEndsWithoutAnAnswerIsGone) {
   Settings settings = small_settings();
   settings.connection_idle = 10 * kSecond;
   for (const Outcome outcome : {Outcome::kSatisfied, Outcome::kCancelled}) {
-    Node node(1, settings);
+    Decider node(1, settings);
     node.arrive(0, 0);
     node.policy.launch_ended(kNow + 100, 0, 0, outcome, 100, true, nullptr);
     EXPECT_EQ(node.policy.executors[0].connections, outcome == Outcome::kSatisfied ? 1 : 0);
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,298 @@
+// Starts the program and speaks to it over loopback.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "helpers.h"
+
+namespace canvasstage {
+namespace {
+
+bool starts(const std::string& text, const std::string& with) {
+  return text.compare(0, with.size(), with) == 0;
+}
+bool holds(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Tells the node that the second executor is gone, so that all goes to the first.
+Peer only_first(Running& run) {
+  Peer watch = run.accept_watch(Running::entry("s-1", run.first.address));
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  return watch;
+}
+
+Peer launched(Running& run, Peer& client, const std::string& use_case, const std::string& id,
+              const std::string& left = "4000m") {
+  client.write(Running::job(use_case, id, left));
+  return run.first.accept();
+}
+
+TEST(Program, ServesAJobAndUsesTheConnectionAgain) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  client.write(Running::job("phase-run", "id1"));
+  Peer executor = run.first.accept();
+  const std::string request = executor.read_message();
+  EXPECT_TRUE(starts(request, "POST /phase-run/7?q=%41 HTTP/1.1\r\n")) << request;
+  EXPECT_TRUE(holds(request, "X-Correlation-Id: id1\r\n"));
+  EXPECT_TRUE(holds(request, "Idempotency-Key: k-id1\r\n"));
+  EXPECT_TRUE(holds(request, "\r\n\r\nbody"));
+  executor.finish_job("a \\u00e9\\n\\\"b\\\"");
+  const std::string answer = client.read_message();
+  EXPECT_TRUE(starts(answer, "HTTP/1.1 200 ")) << answer;
+  EXPECT_TRUE(holds(answer, "\r\n\r\na \xc3\xa9\n\"b\"")) << answer;
+  client.write(Running::job("lookup", "id2"));
+  EXPECT_TRUE(holds(executor.read_message(), "X-Correlation-Id: id2\r\n"));
+  executor.finish_job("again");
+  EXPECT_TRUE(holds(client.read_message(), "again"));
+}
+
+TEST(Program, PipelinedSubmissionsAreAnsweredInTurn) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  client.write(Running::job("lookup", "id1") + Running::job("lookup", "id2"));
+  Peer executor = run.first.accept();
+  executor.read_message();
+  executor.finish_job("one");
+  executor.read_message();
+  executor.finish_job("two");
+  EXPECT_TRUE(holds(client.read_message(), "one"));
+  EXPECT_TRUE(holds(client.read_message(), "two"));
+}
+
+TEST(Program, ARefusedConnectionSendsItElsewhere) {
+  Running run;
+  run.second.close();
+  Peer client = run.client();
+  client.write(Running::job("charge", "id0"));
+  Peer executor = run.first.accept();
+  for (int i = 1; i <= 8; ++i) {
+    executor.read_message();
+    executor.finish_job("ok");
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+    if (i < 8) client.write(Running::job("charge", "id" + std::to_string(i)));
+  }
+}
+
+TEST(Program, NothingNewGoesToAnExecutorThatDrains) {
+  Running run;
+  Peer watch = run.accept_watch(Running::entry("s-1", run.first.address) + "," +
+                                Running::entry("s-2", run.second.address));
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  Running::tell(watch, Running::entry("s-2", run.second.address, "leaving"), false);
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id0");
+  for (int i = 1; i <= 8; ++i) {
+    executor.read_message();
+    executor.finish_job("ok");
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+    if (i < 8) client.write(Running::job("lookup", "id" + std::to_string(i)));
+  }
+  EXPECT_TRUE(run.second.nobody_waits());
+}
+
+// Broken after the last byte: it may have run, so single-use is neither sent again nor pushed back.
+TEST(Program, ABreakAfterTheLastByteAbortsSingleUse) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "charge", "id1");
+  executor.read_message();
+  executor.close();
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 "));
+  EXPECT_TRUE(run.first.nobody_waits());
+  EXPECT_TRUE(run.second.nobody_waits());
+}
+
+TEST(Program, OneTurnedAwayUnprocessedGoesAgain) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "charge", "id1");
+  executor.read_message();
+  executor.write("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 2\r\n\r\nno");
+  EXPECT_TRUE(holds(executor.read_message(), "X-Correlation-Id: id1\r\n"));
+  executor.finish_job("second");
+  EXPECT_TRUE(holds(client.read_message(), "second"));
+}
+
+TEST(Program, ABadLineIsALaunchThatMayHaveRun) {
+  for (const char* const line : {"no json", "{}", R"({"state":"done"})", "[1]"}) {
+    Running run;
+    Peer watch = only_first(run);
+    Peer client = run.client();
+    Peer executor = launched(run, client, "charge", "id1");
+    executor.read_message();
+    executor.begin_lines();
+    executor.write_line(line);
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 ")) << line;
+  }
+}
+
+TEST(Program, ASilentExecutorIsAnsweredForInTime) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  const auto sent = std::chrono::steady_clock::now();
+  Peer executor = launched(run, client, "charge", "id1", "700000u");
+  executor.read_message();
+  executor.begin_lines();
+  executor.write_line(R"({"state":"started"})");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 "));
+  EXPECT_GE(std::chrono::steady_clock::now() - sent, std::chrono::milliseconds(600));
+  EXPECT_EQ(executor.read_to_end(), "");  // given up
+}
+
+TEST(Program, AClientThatLeavesTakesItsLaunchAlong) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  client.close();
+  EXPECT_EQ(executor.read_to_end(), "");
+  EXPECT_TRUE(run.wait_for_log("reason=left_while_open"));
+}
+
+TEST(Program, BadRequestsAreAnsweredAndTheirConnectionClosed) {
+  Running run;
+  const std::string id = "X-Correlation-Id: i\r\n";
+  const std::vector<std::pair<std::string, std::string>> rows = {
+      {"nonsense\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\n" + id + "\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\n" + id + "X-Time-Left: 5s\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\n" + id + "X-Time-Left: -5m\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\nX-Time-Left: 5m\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+      {"POST /unknown HTTP/1.1\r\n" + id + "X-Time-Left: 5m\r\n\r\n", "404"},
+      {"GET /lookup HTTP/1.1\r\n\r\n", "405"},
+      {"POST /lookup HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413"},
+      {"GET / HTTP/1.1\r\nA: " + std::string(9000, 'x') + "\r\n\r\n", "431"}};
+  for (const auto& [request, status] : rows) {
+    Peer client = run.client();
+    client.write(request);
+    const std::string answer = client.read_to_end();
+    EXPECT_TRUE(starts(answer, "HTTP/1.1 " + status)) << request.substr(0, 80) << "\n" << answer;
+    EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
+  }
+  Peer client = run.client();
+  client.write("GET /healthz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+}
+
+TEST(Program, AChunkedBodyGoesOnWhole) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  client.write(
+      "POST /lookup HTTP/1.1\r\nX-Correlation-Id: c\r\nX-Time-Left: 4000m\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  client.write("10000\r\n" + std::string(65536 - 3, 'd').substr(0, 65533));
+  client.write("ddd");                                                                // the chunk's end
+  EXPECT_TRUE(starts(client.write("\r\n0\r\n\r\n").read_to_end(), "HTTP/1.1 413 "));  // three bytes too many
+  Peer other = run.client();
+  other.write(
+      "POST /lookup HTTP/1.1\r\nX-Correlation-Id: c\r\nX-Time-Left: 4000m\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nfffd\r\n" +
+      std::string(65533, 'd') + "\r\n0\r\n\r\n");
+  Peer executor = run.first.accept();
+  EXPECT_TRUE(holds(executor.read_message(), "\r\n\r\nabc" + std::string(65533, 'd')));
+  executor.finish_job(std::string(60000, 'r'));
+  EXPECT_TRUE(holds(other.read_message(), std::string(60000, 'r')));
+}
+
+TEST(Program, AskedToStopItServesWhatIsOpenAndWhatStillComes) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer idle = run.client();
+  idle.write("GET /healthz HTTP/1.1\r\n\r\n");
+  idle.read_message();
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  executor.begin_lines();
+  executor.write_line(R"({"state":"started"})");
+  run.stop();
+  EXPECT_EQ(idle.read_to_end(), "");  // it has begun to stop
+  Peer late = run.client();
+  late.write(Running::job("lookup", "id2"));
+  Peer second = run.first.accept();
+  second.read_message();
+  second.finish_job("late");
+  const std::string answer = late.read_to_end();
+  EXPECT_TRUE(starts(answer, "HTTP/1.1 200 ")) << answer;
+  EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
+  executor.write_line(R"({"state":"done","result":"open"})");
+  executor.end_lines();
+  EXPECT_TRUE(holds(client.read_to_end(), "open"));
+  late.close();
+  client.close();
+  idle.close();
+  EXPECT_EQ(run.wait(), 0);
+}
+
+TEST(Program, ItsAddressIsFreeAtOnceAfterItWasKilled) {
+  std::string address;
+  Running first;
+  address = first.address;
+  Peer client = first.client();
+  client.write("GET /healthz HTTP/1.1\r\n\r\n");
+  client.read_message();
+  first.stop(SIGKILL);
+  EXPECT_EQ(first.wait(), -1);
+  Running second(256, address);
+  EXPECT_EQ(second.address, address);
+}
+
+TEST(Program, DescriptorsUsedUp) {
+  Running run(64);  // 54 for connections, of these 27 for clients
+  Peer watch = only_first(run);
+  std::vector<Peer> clients;
+  for (int i = 0; i < 80; ++i) clients.push_back(run.client());
+  // Idle ones were closed; whoever comes now is served.
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  executor.finish_job("served");
+  EXPECT_TRUE(holds(client.read_message(), "served"));
+  std::vector<Peer> busy;
+  for (int i = 0; i < 40; ++i) {
+    busy.push_back(run.client());
+    busy.back().write(Running::job("lookup", "b" + std::to_string(i), "1500m"));
+  }
+  int answered = 0;
+  for (Peer& one : busy) answered += starts(one.read_message(), "HTTP/1.1 503 ") ? 1 : 0;
+  EXPECT_EQ(answered, 40);  // pushed back, at once or when their time was over: nobody served them
+}
+
+TEST(Program, DiscoveryDownAndBack) {
+  Running run;
+  run.discovery.accept().write("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
+  run.discovery.accept().close();
+  Peer watch = run.discovery.accept();
+  EXPECT_TRUE(starts(watch.read_until("\r\n\r\n"), "GET /v1/servers?stream=1&index=1 "));
+  watch.begin_lines();
+  watch.write_line("");
+  watch.write_line("no list");
+  Peer again = only_first(run);  // a bad line counts as a failed call
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  executor.finish_job("found");
+  EXPECT_TRUE(holds(client.read_message(), "found"));
+}
+
+TEST(Program, ABadConfigurationNamesItsField) {
+  Running run(256, "127.0.0.1:0", "zz");
+  EXPECT_EQ(run.wait(), 1);
+  EXPECT_EQ(run.address, "");
+  EXPECT_TRUE(holds(run.output(), "seed")) << run.output();
+}
+
+}  // namespace
+}  // namespace canvasstage
