--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -30,6 +30,12 @@
 // Connections go on coming for 0.4 s after that.
 constexpr Time kListenOn = kSecond * 45 / 100;
 
+// The module is to count on a connection for as long as the node keeps it, and no longer.
+Settings with_idle(Settings settings, Time idle) {
+  settings.connection_idle = idle;
+  return settings;
+}
+
 }  // namespace
 
 Node::Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now)
@@ -39,7 +45,7 @@
       most_descriptors_(usable(descriptors)),
       // The executor closes at its idle time at the latest, and clocks and wires are late.
       link_idle_(settings.connection_idle * 3 / 4),
-      policy_(std::move(settings), *this, seed, now) {
+      policy_(with_idle(std::move(settings), link_idle_), *this, seed, now) {
   effects_.wake_at(now + kTick, kTickToken);
 }
 
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -16,7 +16,16 @@
 
 Buffer BufferPool::take(std::size_t spare) {
   const std::lock_guard lock(mutex_);
-  if (out_ + spare >= most_) return {};
+  return out_ + spare >= most_ ? Buffer() : next();
+}
+
+Buffer BufferPool::wait_for_one() {
+  std::unique_lock lock(mutex_);
+  given_back_.wait(lock, [this] { return out_ < most_; });
+  return next();
+}
+
+Buffer BufferPool::next() {
   ++out_;
   // Not zeroed: the system gives pages as they are written, and most messages are small.
   if (free_.empty()) return {std::unique_ptr<char[]>(new char[Buffer::kSize]), *this};
@@ -29,6 +38,7 @@
   const std::lock_guard lock(mutex_);
   --out_;
   free_.push_back(std::move(bytes));
+  given_back_.notify_one();
 }
 
 }  // namespace canvasstage::net
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -1,6 +1,7 @@
 // Buffers of one size, used again. An idle connection holds none.
 #pragma once
 
+#include <condition_variable>
 #include <cstddef>
 #include <memory>
 #include <mutex>
@@ -33,14 +34,18 @@
  public:
   explicit BufferPool(std::size_t most) : most_(most) {}
   // `spare`: as many must be left for others.
-  Buffer take(std::size_t spare = 0);
+  Buffer take(std::size_t spare);
+  // Waits for one. Whoever holds one gives it back when its submission's time is over at the latest.
+  Buffer wait_for_one();
   std::size_t most() const { return most_; }
 
  private:
   friend class Buffer;
+  Buffer next();
   void give_back(std::unique_ptr<char[]> bytes);
 
   std::mutex mutex_;
+  std::condition_variable given_back_;
   std::vector<std::unique_ptr<char[]>> free_;
   std::size_t most_, out_ = 0;
 };
