--- a/src/main.cpp
+++ b/src/main.cpp
@@ -59,17 +59,18 @@
   sigaddset(&stops, SIGTERM);
   sigaddset(&stops, SIGINT);
   pthread_sigmask(SIG_BLOCK, &stops, nullptr);
-  // An eighth of the memory's bytes may be buffers at once, and as many again; a limit far above what a node
-  // with 1,024 descriptors can have open.
+  // Five eighths of the memory may be buffers, a third of them for submissions: a launch needs one to read
+  // and one for its result. Threads and the rest were measured at a tenth of 192 MB, with every descriptor in
+  // use.
   const std::size_t buffers =
-      static_cast<std::size_t>(limit(config, "memory_mb")) * 1024 * 1024 / 2 / net::Buffer::kSize;
+      static_cast<std::size_t>(limit(config, "memory_mb")) * 1024 * 1024 / 8 * 5 / net::Buffer::kSize;
   Terms terms;
   Settings settings = decode_settings(needed(config, "settings"), terms);
-  net::Reducer reducer;
-  net::BufferPool pool(buffers);
+  net::BufferPool submissions(buffers / 3), launches(buffers - buffers / 3);
+  net::Reducer reducer;  // what is left in its queue goes before the pools
   std::unique_ptr<Node> node;
   Node* seen = nullptr;
-  net::World world{reducer, pool, terms, seen};
+  net::World world{reducer, submissions, launches, terms, seen};
   net::start_log(std::string(text(needed(config, "name"), "name")));
   net::Server server(world, net::listen_on(setting("NODE_LISTEN", config, "listen")),
                      setting("NODE_DISCOVERY", config, "discovery"));
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -14,9 +14,9 @@
   if (bytes_) pool_->give_back(std::move(bytes_));
 }
 
-Buffer BufferPool::take(std::size_t spare) {
+Buffer BufferPool::take() {
   const std::lock_guard lock(mutex_);
-  return out_ + spare >= most_ ? Buffer() : next();
+  return out_ < most_ ? next() : Buffer();
 }
 
 Buffer BufferPool::wait_for_one() {
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -33,11 +33,9 @@
 class BufferPool {
  public:
   explicit BufferPool(std::size_t most) : most_(most) {}
-  // `spare`: as many must be left for others.
-  Buffer take(std::size_t spare);
+  Buffer take();
   // Waits for one. Whoever holds one gives it back when its submission's time is over at the latest.
   Buffer wait_for_one();
-  std::size_t most() const { return most_; }
 
  private:
   friend class Buffer;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -161,8 +161,7 @@
     return false;
   }
   auto submission = std::make_shared<Submitted>();
-  // Executors' connections need two buffers for each launch; clients leave them two thirds.
-  submission->buffer = world_.buffers.take(world_.buffers.most() * 2 / 3);
+  submission->buffer = world_.submissions.take();
   if (!submission->buffer) return reject(503, Reason::kNoRoom, reason);
   const std::size_t carried = carry_.size();
   std::memcpy(submission->buffer.data(), carry_.data(), carried);
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -156,7 +156,7 @@
 }
 
 void ExecutorConnection::read_answer(Ending& ending) {
-  const Buffer buffer = world_.buffers.wait_for_one();
+  const Buffer buffer = world_.launches.wait_for_one();
   char* const data = buffer.data();
   socket_.limit_reading(Milliseconds(0));
   http::Head head(http::Head::Kind::kAnswer);
@@ -237,7 +237,7 @@
   } else if (word == "done" && member(object, "result").IsString()) {
     const std::string_view content = text(member(object, "result"), "result");
     auto result = std::make_shared<Result>();
-    result->buffer = world_.buffers.wait_for_one();
+    result->buffer = world_.launches.wait_for_one();
     std::memcpy(result->buffer.data(), content.data(), content.size());
     result->text = {result->buffer.data(), content.size()};
     tell(Outcome::kSatisfied, result);
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -10,7 +10,8 @@
 
 struct World {
   Reducer& reducer;
-  BufferPool& buffers;
+  BufferPool& submissions;  // buffers for these, and for launches: the one cannot starve the other
+  BufferPool& launches;
   const Terms& terms;
   Node*& node;  // for the events that the reducer runs, and for nobody else
 };
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 
 #include "helpers.h"
+#include "net/buffer_pool.h"
 
 namespace canvasstage {
 namespace {
@@ -28,6 +29,17 @@
   return run.first.accept();
 }
 
+TEST(BufferPool, GivesNoMoreThanItHasAndUsesThemAgain) {
+  net::BufferPool pool(2);
+  net::Buffer first = pool.take();
+  char* const bytes = first.data();
+  const net::Buffer second = pool.take();
+  EXPECT_TRUE(second);
+  EXPECT_FALSE(pool.take());
+  { const net::Buffer gone = std::move(first); }
+  EXPECT_EQ(pool.wait_for_one().data(), bytes);
+}
+
 TEST(Program, ServesAJobAndUsesTheConnectionAgain) {
   Running run;
   Peer watch = only_first(run);
