JSON from outside is parsed without recursion; the first watch goes on from the remembered version

Found on reading: RapidJSON's default parser recurses, and a line of 50,000 brackets from an executor would overflow a 64 KiB stack (net/executor.cpp take_line, net/discovery.cpp take_line). The test sends such a line.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -38,13 +38,15 @@
 
 }  // namespace
 
-Node::Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now)
+Node::Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now,
+           std::uint64_t roster_version)
     : terms_(std::move(terms)),
       effects_(effects),
       now_(now),
       most_descriptors_(usable(descriptors)),
       // The executor closes at its idle time at the latest, and clocks and wires are late.
       link_idle_(settings.connection_idle * 3 / 4),
+      roster_version_(roster_version),
       policy_(with_idle(std::move(settings), link_idle_), *this, seed, now) {
   effects_.wake_at(now + kTick, kTickToken);
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -18,7 +18,9 @@
 
 class Node final : public Host {
  public:
-  Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now);
+  // `roster_version`: of the remembered list that comes next; 0: there is none.
+  Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now,
+       std::uint64_t roster_version = 0);
 
   void client_opened(Time now, Id client);
   // Whatever it has open is given up: the client has gone away.
@@ -105,7 +107,7 @@
   std::vector<int> unused_;
   int links_ = 0;  // executor connections, busy or free
   Id last_launch_ = 0;
-  std::uint64_t roster_version_ = 0;
+  std::uint64_t roster_version_;
   Time stop_by_ = kNever;
   bool listener_closed_ = false, finished_ = false;
   Policy policy_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -75,12 +75,12 @@
   net::Server server(world, net::listen_on(setting("NODE_LISTEN", config, "listen")),
                      setting("NODE_DISCOVERY", config, "discovery"));
   const Time start = net::now();
+  const JsonValue& known = member(config, "known");
+  const std::uint64_t version = known.IsObject() ? whole(needed(known, "generation"), "known.generation") : 0;
   node = std::make_unique<Node>(std::move(settings), terms, limit(config, "sockets"), read_seed(config),
-                                server, start);
+                                server, start, version);
   seen = node.get();
-  const JsonValue& known = member(config, "known");
   if (known.IsObject()) net::take_list(*node, start, known, true);
-
   server.start();
   net::start_thread([&] {
     const timespec look_up{0, 200000000};
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -136,7 +136,7 @@
 
 bool Watch::take_line(std::string_view line) {
   const auto list = std::make_shared<rapidjson::Document>();
-  list->Parse(line.data(), line.size());
+  list->Parse<kNotRecursive>(line.data(), line.size());
   if (!list->IsObject()) {
     log_note("discovery: a line that is no object");
     return false;
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -74,6 +74,7 @@
                                   Ending& ending) {
   ending.told = true;
   ending.kept = kept;
+  if (!kept) ending.reason = Reason::kNoReuse;
   world_.reducer.post(
       [&world = world_, id = work_.id, outcome, result = std::move(result), kept, waiting](Time now) {
         const Load load{waiting};
@@ -222,7 +223,7 @@
 // A line that cannot be read is a launch that may have run.
 void ExecutorConnection::take_line(std::string_view line, bool kept, Ending& ending) {
   rapidjson::Document object;
-  object.Parse(line.data(), line.size());
+  object.Parse<kNotRecursive>(line.data(), line.size());
   const JsonValue& state = member(object, "state");
   const std::string_view word = state.IsString() ? text(state, "state") : std::string_view();
   const auto tell = [&](Outcome outcome, ParcelRef result) {
@@ -249,8 +250,8 @@
     tell(Outcome::kBroken, nullptr);
   } else {
     log_note("executor: a line that cannot be read");
-    ending.reason = Reason::kBadMessage;
     tell_end(Outcome::kBroken, nullptr, false, -1, ending);
+    ending.reason = Reason::kBadMessage;
   }
 }
 
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -8,6 +8,9 @@
 
 namespace canvasstage::net {
 
+// For JSON that comes from outside: nothing nested, however deep, may grow a small stack.
+constexpr unsigned kNotRecursive = rapidjson::kParseIterativeFlag;
+
 struct World {
   Reducer& reducer;
   BufferPool& submissions;  // buffers for these, and for launches: the one cannot starve the other
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -133,7 +133,8 @@
 }
 
 TEST(Program, ABadLineIsALaunchThatMayHaveRun) {
-  for (const char* const line : {"no json", "{}", R"({"state":"done"})", "[1]"}) {
+  const std::string deep(50000, '[');  // would overflow a small stack
+  for (const std::string line : {"no json", "{}", R"({"state":"done"})", "[1]", deep.c_str()}) {
     Running run;
     Peer watch = only_first(run);
     Peer client = run.client();
@@ -284,10 +285,12 @@
 
 TEST(Program, DiscoveryDownAndBack) {
   Running run;
-  run.discovery.accept().write("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
+  Peer first = run.discovery.accept();
+  EXPECT_TRUE(starts(first.read_until("\r\n\r\n"), "GET /v1/servers?stream=1&index=1 "));
+  first.write("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
   run.discovery.accept().close();
   Peer watch = run.discovery.accept();
-  EXPECT_TRUE(starts(watch.read_until("\r\n\r\n"), "GET /v1/servers?stream=1&index=1 "));
+  watch.read_until("\r\n\r\n");
   watch.begin_lines();
   watch.write_line("");
   watch.write_line("no list");
