--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -133,17 +133,21 @@
 }
 
 TEST(Program, ABadLineIsALaunchThatMayHaveRun) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
   const std::string deep(50000, '[');  // would overflow a small stack
-  for (const std::string line : {"no json", "{}", R"({"state":"done"})", "[1]", deep.c_str()}) {
-    Running run;
-    Peer watch = only_first(run);
-    Peer client = run.client();
-    Peer executor = launched(run, client, "charge", "id1");
+  for (const std::string& line :
+       std::vector<std::string>{"no json", "{}", R"({"state":"done"})", "[1]", deep}) {
+    Peer executor = launched(run, client, "charge", "id" + std::to_string(line.size()));
     executor.read_message();
     executor.begin_lines();
     executor.write_line(line);
-    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 ")) << line;
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 ")) << line.substr(0, 20);
   }
+  client.close();
+  run.stop();
+  EXPECT_EQ(run.wait(), 0);
 }
 
 TEST(Program, ASilentExecutorIsAnsweredForInTime) {
