--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -56,6 +56,16 @@
 
 // --- The rules ---
 
+TEST(Rule1, AnEarlierHardLimitHoldsFromThenOn) {
+  Decider node(0);
+  node.arrive(0, 0);
+  node.policy.hurry(kNow, 0, kNow + kSecond);
+  node.policy.hurry(kNow, 0, kNow + 2 * kSecond);  // never later
+  EXPECT_EQ(node.policy.submissions[0].due, kNow + kSecond);
+  node.look_at(0, kNow + kSecond - 40);
+  EXPECT_EQ(node.host.pushed_back, std::vector<int>{0});
+}
+
 TEST(Rule1, LaunchOfAnEndedSubmissionIsRefused) {
   Decider node(2);
   node.arrive(0, 0);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -29,6 +29,16 @@
   return run.first.accept();
 }
 
+// One after the other; the executor has the first already.
+void serve_jobs(Peer& client, Peer& executor, const std::string& use_case, int jobs) {
+  for (int i = 1; i <= jobs; ++i) {
+    executor.read_message();
+    executor.finish_job("ok");
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+    if (i < jobs) client.write(Running::job(use_case, "id" + std::to_string(i)));
+  }
+}
+
 TEST(BufferPool, GivesNoMoreThanItHasAndUsesThemAgain) {
   net::BufferPool pool(2);
   net::Buffer first = pool.take();
@@ -81,12 +91,7 @@
   Peer client = run.client();
   client.write(Running::job("charge", "id0"));
   Peer executor = run.first.accept();
-  for (int i = 1; i <= 8; ++i) {
-    executor.read_message();
-    executor.finish_job("ok");
-    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
-    if (i < 8) client.write(Running::job("charge", "id" + std::to_string(i)));
-  }
+  serve_jobs(client, executor, "charge", 8);
 }
 
 TEST(Program, NothingNewGoesToAnExecutorThatDrains) {
@@ -98,12 +103,7 @@
   EXPECT_TRUE(run.wait_for_log("roster taken"));
   Peer client = run.client();
   Peer executor = launched(run, client, "lookup", "id0");
-  for (int i = 1; i <= 8; ++i) {
-    executor.read_message();
-    executor.finish_job("ok");
-    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
-    if (i < 8) client.write(Running::job("lookup", "id" + std::to_string(i)));
-  }
+  serve_jobs(client, executor, "lookup", 8);
   EXPECT_TRUE(run.second.nobody_waits());
 }
 
