--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -41,7 +41,7 @@
     const std::string_view name = text(group, "group");
     u.group = name == "all" ? Group::kAll : name == "zone" ? Group::kZone : Group::kCell;
   } else if (u.effect == Effect::kReferenced) {
-    bad("bootInfo: group is missing");
+    bad("group is missing");
   }
   u.window = to_time(setting(from, "window", 0));
   return u;
@@ -81,7 +81,7 @@
 
 const JsonValue& needed(const JsonValue& object, const char* key) {
   const JsonValue& value = member(object, key);
-  if (value.IsNull()) bad(std::string("bootInfo: ") + key + " is missing");
+  if (value.IsNull()) bad(std::string(key) + " is missing");
   return value;
 }
 
@@ -98,7 +98,7 @@
 }
 
 Settings decode_settings(const JsonValue& settings, Terms& terms) {
-  if (!settings.IsObject()) bad("bootInfo: an object is needed");
+  if (!settings.IsObject()) bad("settings: an object is needed");
   read_names(member(settings, "zones"), "zones", terms.zones);
   read_names(member(settings, "shapes"), "shapes", terms.machine_kinds);
   read_names(member(member(settings, "report"), "fields"), "report.fields", terms.report_fields);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -76,11 +76,12 @@
                      setting("NODE_DISCOVERY", config, "discovery"));
   const Time start = net::now();
   const JsonValue& known = member(config, "known");
-  const std::uint64_t version = known.IsObject() ? whole(needed(known, "generation"), "known.generation") : 0;
+  // All that can be wrong is read before the node starts its first thread.
+  const std::uint64_t version = known.IsNull() ? 0 : net::check_list(known);
   node = std::make_unique<Node>(std::move(settings), terms, limit(config, "sockets"), read_seed(config),
                                 server, start, version);
   seen = node.get();
-  if (known.IsObject()) net::take_list(*node, start, known, true);
+  if (!known.IsNull()) net::take_list(*node, start, known, true);
   server.start();
   net::start_thread([&] {
     const timespec look_up{0, 200000000};
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -38,13 +38,17 @@
 
 }  // namespace
 
-void take_list(Node& node, Time now, const JsonValue& list, bool remembered) {
+std::uint64_t check_list(const JsonValue& list) {
   const JsonValue& entries = needed(list, "instances");
   if (!entries.IsArray()) bad("instances: a list is needed");
-  const std::uint64_t version = whole(needed(list, "generation"), "generation");
-  const JsonValue& reset = member(list, "reset");
   for (const JsonValue& entry : entries.GetArray()) check_entry(entry);
-  for (const JsonValue& entry : entries.GetArray()) {
+  return whole(needed(list, "generation"), "generation");
+}
+
+void take_list(Node& node, Time now, const JsonValue& list, bool remembered) {
+  const std::uint64_t version = check_list(list);
+  const JsonValue& reset = member(list, "reset");
+  for (const JsonValue& entry : member(list, "instances").GetArray()) {
     const double started = number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
     node.executor_listed(now, text(entry["instanceId"], ""), text(entry["hostPort"], ""),
                          text_or_none(member(entry, "zone")), text_or_none(member(entry, "machineType")),
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -31,8 +31,9 @@
   std::atomic<bool> given_up_{false};
 };
 
-// A list in discovery's form, as it stands in a change and in the configuration. Throws BadInput before the
-// node has seen any of it.
+// A list in discovery's form, as it stands in a change and in the configuration. Checking it gives its
+// version; both throw BadInput before the node has seen any of it.
+std::uint64_t check_list(const JsonValue& list);
 void take_list(Node& node, Time now, const JsonValue& list, bool remembered);
 
 }  // namespace canvasstage::net
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -5,6 +5,7 @@
 
 #include "helpers.h"
 #include "net/buffer_pool.h"
+#include "net/discovery.h"
 
 namespace canvasstage {
 namespace {
@@ -50,6 +51,22 @@
   EXPECT_EQ(pool.wait_for_one().data(), bytes);
 }
 
+TEST(Discovery, ABadEntryNamesItsField) {
+  const auto message = [](const std::string& entry) -> std::string {
+    rapidjson::Document list;
+    list.Parse((R"({"generation":3,"instances":[)" + entry + "]}").c_str());
+    try {
+      return "version " + std::to_string(net::check_list(list));
+    } catch (const BadInput& input) {
+      return input.what();
+    }
+  };
+  EXPECT_EQ(message(Running::entry("s-1", "127.0.0.1:1")), "version 3");
+  EXPECT_TRUE(holds(message(R"({"instanceId":"s-1"})"), "lifecycle"));
+  EXPECT_TRUE(holds(message(R"({"instanceId":7,"lifecycle":"active"})"), "instanceId"));
+  EXPECT_TRUE(holds(message("5"), "instanceId"));
+}
+
 TEST(Program, ServesAJobAndUsesTheConnectionAgain) {
   Running run;
   Peer watch = only_first(run);
