One place accepts, sets up and names sockets; the listener wrote three of its steps again

Read over: server.cpp repeated socket.cpp's address text and TCP_NODELAY, and client.h included what it does not use.

--- a/src/net/client.h
+++ b/src/net/client.h
@@ -2,7 +2,6 @@
 // takes them, and the rest by a few writer threads.
 #pragma once
 
-#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <memory>
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,10 +1,5 @@
 #include "net/server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
@@ -28,13 +23,9 @@
   constexpr Milliseconds kQuiet{50};
   listener_.limit_reading(kQuiet);
   for (;;) {
-    sockaddr_in from{};
-    socklen_t size = sizeof from;
-    Socket socket(::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_CLOEXEC));
-    if (socket.open()) {
-      char text[INET_ADDRSTRLEN] = "";
-      inet_ntop(AF_INET, &from.sin_addr, text, sizeof text);
-      accept(std::move(socket), std::string(text) + ":" + std::to_string(ntohs(from.sin_port)));
+    std::string peer;
+    if (Socket socket = accept_from(listener_, peer); socket.open()) {
+      accept(std::move(socket), std::move(peer));
       continue;
     }
     if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
@@ -50,8 +41,6 @@
 }
 
 void Server::accept(Socket socket, std::string peer) {
-  const int on = 1;
-  ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   const Id id = ++last_client_;
   auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
   world_.reducer.post([this, client](Time now) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -31,6 +31,17 @@
   return result;
 }
 
+std::string written_out(const sockaddr_in& address) {
+  char text[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+void send_at_once(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 void limit(int fd, int option, Milliseconds limit) {
   const timeval value{limit.count() / 1000, static_cast<suseconds_t>(limit.count() % 1000 * 1000)};
   ::setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
@@ -54,10 +65,8 @@
 std::string Socket::address() const {
   sockaddr_in at{};
   socklen_t size = sizeof at;
-  char text[INET_ADDRSTRLEN] = "";
   ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
-  inet_ntop(AF_INET, &at.sin_addr, text, sizeof text);
-  return std::string(text) + ":" + std::to_string(ntohs(at.sin_port));
+  return written_out(at);
 }
 
 void Socket::limit_sending(Milliseconds value) const {
@@ -115,8 +124,17 @@
 Socket new_socket() {
   Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (!socket.open()) fail("socket");
-  const int on = 1;
-  ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  send_at_once(socket.fd());
+  return socket;
+}
+
+Socket accept_from(const Socket& listener, std::string& peer) {
+  sockaddr_in from{};
+  socklen_t size = sizeof from;
+  Socket socket(::accept4(listener.fd(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_CLOEXEC));
+  if (!socket.open()) return socket;
+  send_at_once(socket.fd());
+  peer = written_out(from);
   return socket;
 }
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -39,9 +39,12 @@
   int fd_ = -1;
 };
 
-// All of these throw std::runtime_error where the address cannot be read or the system refuses.
+// Listening, making and connecting throw std::runtime_error where the address cannot be read or the system
+// refuses.
 Socket listen_on(const std::string& address);
 Socket new_socket();
+// Not open, with errno, where nobody came or the system refuses.
+Socket accept_from(const Socket& listener, std::string& peer);
 // Within the socket's limit for sending; 0 or errno.
 int connect_to(const Socket& socket, const std::string& address);
 
