SIGHUP reads the configuration again and moves the watch instead of ending the node

Checked and ruled out: memory (1 of 48 MB), a throw (129 is 128 + SIGHUP). Now one function reads the file at the start and at a reload, off the reducer's thread and without recursion; one event moves the watch, which asks from the version held at once with the pause set back. The file decides after SIGHUP, the environment only at the start.

--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -32,7 +32,8 @@
                       Time give_up_at) = 0;
   // Gives up a launch, or closes the free connection that it left.
   virtual void give_up(Id launch) = 0;
-  virtual void watch_roster(std::uint64_t from_version) = 0;
+  // The watch before it, if any, tells nothing from then on.
+  virtual void watch_roster(const std::string& address, std::uint64_t from_version) = 0;
   virtual void wake_at(Time when, std::uint64_t token) = 0;
   virtual void close_listener() = 0;
   virtual void finish() = 0;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -39,13 +39,14 @@
 }  // namespace
 
 Node::Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now,
-           std::uint64_t roster_version)
+           std::string discovery, std::uint64_t roster_version)
     : terms_(std::move(terms)),
       effects_(effects),
       now_(now),
       most_descriptors_(usable(descriptors)),
       // The executor closes at its idle time at the latest, and clocks and wires are late.
       link_idle_(settings.connection_idle * 3 / 4),
+      discovery_(std::move(discovery)),
       roster_version_(roster_version),
       policy_(with_idle(std::move(settings), link_idle_), *this, seed, now) {
   effects_.wake_at(now + kTick, kTickToken);
@@ -271,8 +272,15 @@
   policy_.roster_refused(now);
 }
 
+// The version held counts at the new address too: it is one service for all.
+void Node::discovery_moved(Time now, std::string address) {
+  now_ = now;
+  discovery_ = std::move(address);
+  policy_.roster_moved(now);
+}
+
 void Node::subscribe() {
-  effects_.watch_roster(roster_version_);
+  effects_.watch_roster(discovery_, roster_version_);
 }
 
 // --- Time ---
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -20,7 +20,7 @@
  public:
   // `roster_version`: of the remembered list that comes next; 0: there is none.
   Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now,
-       std::uint64_t roster_version = 0);
+       std::string discovery, std::uint64_t roster_version = 0);
 
   void client_opened(Time now, Id client);
   // Whatever it has open is given up: the client has gone away.
@@ -39,6 +39,7 @@
                        std::string_view kind, int cell, Standing standing, Time started);
   void roster_arrived(Time now, RosterForm form, std::uint64_t version);
   void roster_refused(Time now);
+  void discovery_moved(Time now, std::string address);
 
   void timer_due(Time now, std::uint64_t token);
   // Nothing more can connect.
@@ -107,6 +108,7 @@
   std::vector<int> unused_;
   int links_ = 0;  // executor connections, busy or free
   Id last_launch_ = 0;
+  std::string discovery_;
   std::uint64_t roster_version_;
   Time stop_by_ = kNever;
   bool listener_closed_ = false, finished_ = false;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -39,6 +39,7 @@
   Time longest_hard_limit = 0;
   Time connect_within = kSecond;
   Time drain_grace = kSecond;
+  bool operator==(const Terms&) const = default;
 };
 
 Settings decode_settings(const JsonValue& settings, Terms& terms);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,73 +20,117 @@
 constexpr const char* kUsage =
     "usage: canvasstage [--help | --version]\n"
     "One node. NODE_CONFIG names its configuration; NODE_LISTEN and NODE_DISCOVERY, where set, go before "
-    "it.\n";
+    "it at the start. SIGHUP reads it again.\n";
 
-rapidjson::Document read_config(const char* path) {
-  std::ifstream file(path);
-  if (!file) bad(std::string("NODE_CONFIG: cannot read ") + path);
-  std::stringstream content;
-  content << file.rdbuf();
-  rapidjson::Document config;
-  config.Parse<rapidjson::kParseFullPrecisionFlag>(content.str().c_str());
-  if (config.HasParseError() || !config.IsObject()) bad("NODE_CONFIG: not a JSON object");
-  return config;
-}
+// What the file says; the environment is not in it.
+struct Configuration {
+  std::string name, listen, discovery;
+  std::uint32_t seed = 0;
+  int memory_mb = 0, sockets = 0;
+  Terms terms;
+  Settings settings;
+  rapidjson::Document file;
+  std::uint64_t roster_version = 0;  // of the remembered list; 0: there is none
+};
 
-std::string setting(const char* variable, const JsonValue& config, const char* key) {
-  const char* const value = std::getenv(variable);
-  return value != nullptr ? std::string(value) : std::string(text(needed(config, key), key));
+std::string words(const JsonValue& file, const char* key) {
+  return std::string(text(needed(file, key), key));
 }
 
-std::uint32_t read_seed(const JsonValue& config) {
-  const std::string seed(text(needed(config, "seed"), "seed"));
+std::uint32_t read_seed(const JsonValue& file) {
+  const std::string seed = words(file, "seed");
   char* end = nullptr;
   const std::uint64_t value = std::strtoull(seed.c_str(), &end, 16);
   if (seed.empty() || *end != '\0') bad("seed: a hexadecimal number is needed");
   return static_cast<std::uint32_t>(value);
 }
 
-int limit(const JsonValue& config, const char* key) {
-  const double value = number(needed(needed(config, "limits"), key), key);
-  if (value < 1 || value > 1e7) bad(std::string("limits.") + key + ": out of range");
+int limit(const JsonValue& file, const char* key) {
+  const double value = number(needed(needed(file, "limits"), key), key);
+  if (!(value >= 1 && value <= 1e7)) bad(std::string("limits.") + key + ": out of range");
   return static_cast<int>(value);
 }
 
-void run(const rapidjson::Document& config) {
-  // Before the first thread, so that all inherit it and one alone takes the signal.
-  sigset_t stops;
-  sigemptyset(&stops);
-  sigaddset(&stops, SIGTERM);
-  sigaddset(&stops, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+std::string address(const std::string& text, const char* key) {
+  if (!net::is_address(text)) bad(std::string(key) + ": not an address and a port: " + text);
+  return text;
+}
+
+// All that can be wrong with the file is found here, at the start and at a reload.
+Configuration read_configuration(const char* path) {
+  std::ifstream in(path);
+  if (!in) bad(std::string("NODE_CONFIG: cannot read ") + path);
+  std::stringstream content;
+  content << in.rdbuf();
+  Configuration c;
+  c.file.Parse<rapidjson::kParseFullPrecisionFlag | net::kNotRecursive>(content.str().c_str());
+  if (c.file.HasParseError() || !c.file.IsObject()) bad("NODE_CONFIG: not a JSON object");
+  c.name = words(c.file, "name");
+  c.listen = address(words(c.file, "listen"), "listen");
+  c.discovery = address(words(c.file, "discovery"), "discovery");
+  c.seed = read_seed(c.file);
+  c.memory_mb = limit(c.file, "memory_mb");
+  c.sockets = limit(c.file, "sockets");
+  c.settings = decode_settings(needed(c.file, "settings"), c.terms);
+  const JsonValue& known = member(c.file, "known");
+  if (!known.IsNull()) c.roster_version = net::check_list(known);
+  return c;
+}
+
+std::string from_environment(const char* variable, const std::string& otherwise) {
+  const char* const value = std::getenv(variable);
+  return value != nullptr ? address(value, variable) : otherwise;
+}
+
+// SIGHUP: discovery may have moved, and the file says where to, whatever the environment said at the start.
+// The rest waits for the next start.
+void reload(const char* path, const Configuration& first, net::Reducer& reducer, Node& node) {
+  try {
+    const Configuration now_read = read_configuration(path);
+    const auto keep = [](bool same, const char* field) {
+      if (!same) net::log_note(std::string("reload: ") + field + " stays as it was until the next start");
+    };
+    keep(now_read.name == first.name, "name");
+    keep(now_read.listen == first.listen, "listen");
+    keep(now_read.memory_mb == first.memory_mb && now_read.sockets == first.sockets, "limits");
+    keep(now_read.settings == first.settings && now_read.terms == first.terms, "settings");
+    net::log_note("reload: discovery is " + now_read.discovery);
+    reducer.post([&node, discovery = now_read.discovery](Time now) { node.discovery_moved(now, discovery); });
+  } catch (const std::exception& failure) {
+    net::log_note(std::string("reload: nothing changes: ") + failure.what());
+  }
+}
+
+void run(const char* path, const sigset_t& signals) {
+  const Configuration c = read_configuration(path);
   // Five eighths of the memory may be buffers, a third of them for submissions: a launch needs one to read
   // and one for its result. Threads and the rest were measured at a tenth of 192 MB, with every descriptor in
   // use.
   const std::size_t buffers =
-      static_cast<std::size_t>(limit(config, "memory_mb")) * 1024 * 1024 / 8 * 5 / net::Buffer::kSize;
-  Terms terms;
-  Settings settings = decode_settings(needed(config, "settings"), terms);
+      static_cast<std::size_t>(c.memory_mb) * 1024 * 1024 / 8 * 5 / net::Buffer::kSize;
   net::BufferPool submissions(buffers / 3), launches(buffers - buffers / 3);
   net::Reducer reducer;  // what is left in its queue goes before the pools
   std::unique_ptr<Node> node;
   Node* seen = nullptr;
-  net::World world{reducer, submissions, launches, terms, seen};
-  net::start_log(std::string(text(needed(config, "name"), "name")));
-  net::Server server(world, net::listen_on(setting("NODE_LISTEN", config, "listen")),
-                     setting("NODE_DISCOVERY", config, "discovery"));
+  net::World world{reducer, submissions, launches, c.terms, seen};
+  const std::string discovery = from_environment("NODE_DISCOVERY", c.discovery);
+  net::Socket listener = net::listen_on(from_environment("NODE_LISTEN", c.listen));
+  net::start_log(c.name);
+  net::Server server(world, std::move(listener));
   const Time start = net::now();
-  const JsonValue& known = member(config, "known");
-  // All that can be wrong is read before the node starts its first thread.
-  const std::uint64_t version = known.IsNull() ? 0 : net::check_list(known);
-  node = std::make_unique<Node>(std::move(settings), terms, limit(config, "sockets"), read_seed(config),
-                                server, start, version);
+  node = std::make_unique<Node>(c.settings, c.terms, c.sockets, c.seed, server, start, discovery,
+                                c.roster_version);
   seen = node.get();
+  const JsonValue& known = member(c.file, "known");
   if (!known.IsNull()) net::take_list(*node, start, known, true);
   server.start();
   net::start_thread([&] {
     const timespec look_up{0, 200000000};
-    while (!reducer.finished())
-      if (sigtimedwait(&stops, nullptr, &look_up) > 0) reducer.post([&node](Time now) { node->stop(now); });
+    while (!reducer.finished()) {
+      const int signal = sigtimedwait(&signals, nullptr, &look_up);
+      if (signal == SIGHUP) reload(path, c, reducer, *node);
+      if (signal == SIGTERM || signal == SIGINT) reducer.post([&node](Time now) { node->stop(now); });
+    }
   });
   reducer.run([&node](Time now, std::uint64_t token) { node->timer_due(now, token); });
   server.end_threads();
@@ -115,8 +159,13 @@
   // Two arenas: hundreds of threads with one each would keep memory that none of them uses.
   mallopt(M_ARENA_MAX, 2);
   signal(SIGPIPE, SIG_IGN);
+  // Before the first thread, so that all inherit it and one alone takes the signals.
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int one : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, one);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   try {
-    run(read_config(config));
+    run(config, signals);
   } catch (const std::exception& failure) {
     std::cerr << "canvasstage: " << failure.what() << '\n';
     return 1;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -7,8 +7,7 @@
 
 namespace canvasstage::net {
 
-Server::Server(World& world, Socket listener, std::string discovery)
-    : world_(world), listener_(std::move(listener)), discovery_(std::move(discovery)) {}
+Server::Server(World& world, Socket listener) : world_(world), listener_(std::move(listener)) {}
 
 void Server::start() {
   log_note("listening on " + listener_.address());
@@ -107,9 +106,9 @@
   if (const auto found = links_.find(launch); found != links_.end()) found->second->give_up();
 }
 
-void Server::watch_roster(std::uint64_t from_version) {
+void Server::watch_roster(const std::string& address, std::uint64_t from_version) {
   if (watch_) watch_->give_up();
-  watch_ = std::make_shared<Watch>(world_, discovery_, from_version);
+  watch_ = std::make_shared<Watch>(world_, address, from_version);
   const bool started = start_thread([watch = watch_] { watch->run(); });
   if (!started) world_.reducer.post([this](Time now) { world_.node->roster_refused(now); });
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -16,7 +16,7 @@
 
 class Server final : public Effects {
  public:
-  Server(World& world, Socket listener, std::string discovery);
+  Server(World& world, Socket listener);
   void start();
   // After the reducer has finished: ends every thread.
   void end_threads();
@@ -26,7 +26,7 @@
   void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
               Time give_up_at) override;
   void give_up(Id launch) override;
-  void watch_roster(std::uint64_t from_version) override;
+  void watch_roster(const std::string& address, std::uint64_t from_version) override;
   void wake_at(Time when, std::uint64_t token) override { world_.reducer.wake_at(when, token); }
   void close_listener() override { closing_ = true; }
   void finish() override { world_.reducer.finish(); }
@@ -37,7 +37,6 @@
 
   World& world_;
   Socket listener_;  // the listener thread's
-  const std::string discovery_;
   std::atomic<bool> closing_{false};
   Writers writers_;
   std::unordered_map<Id, std::shared_ptr<ClientConnection>> clients_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -18,16 +18,22 @@
 namespace canvasstage::net {
 namespace {
 
-sockaddr_in read_address(const std::string& address) {
+bool parse_address(const std::string& address, sockaddr_in& result) {
   const std::size_t colon = address.rfind(':');
-  sockaddr_in result{};
-  result.sin_family = AF_INET;
+  if (colon == std::string::npos) return false;
   std::uint16_t port = 0;
   const char* const end = address.data() + address.size();
-  if (colon == std::string::npos || std::from_chars(address.data() + colon + 1, end, port).ptr != end ||
-      inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) != 1)
-    throw std::runtime_error("not an address and a port: " + address);
+  const auto [stopped, error] = std::from_chars(address.data() + colon + 1, end, port);
+  result = sockaddr_in{};
+  result.sin_family = AF_INET;
   result.sin_port = htons(port);
+  return error == std::errc() && stopped == end &&
+         inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) == 1;
+}
+
+sockaddr_in read_address(const std::string& address) {
+  sockaddr_in result;
+  if (!parse_address(address, result)) throw std::runtime_error("not an address and a port: " + address);
   return result;
 }
 
@@ -121,6 +127,11 @@
   if (fd_ >= 0) ::shutdown(fd_, how);
 }
 
+bool is_address(const std::string& text) {
+  sockaddr_in unused;
+  return parse_address(text, unused);
+}
+
 Socket new_socket() {
   Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (!socket.open()) fail("socket");
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -39,6 +39,7 @@
   int fd_ = -1;
 };
 
+bool is_address(const std::string& text);
 // Listening, making and connecting throw std::runtime_error where the address cannot be read or the system
 // refuses.
 Socket listen_on(const std::string& address);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -119,6 +119,13 @@
   next_ask_ = now + from_seconds(seconds(ask_pause_) * (0.5 + uniform(random_)));
 }
 
+void Policy::roster_moved(Time now) {
+  subscribed_ = false;
+  ask_pause_ = 0;
+  next_ask_ = now;
+  follow_list(now);
+}
+
 void Policy::follow_list(Time now) {
   if (!settings_.ask_for_roster || subscribed_ || now < next_ask_) return;
   host_.subscribe();
--- a/src/policy.h
+++ b/src/policy.h
@@ -40,6 +40,7 @@
   Group group = Group::kAll;
   Time window = 0;
   int machine_kind = -1;  // the one kind that runs it; -1: any
+  bool operator==(const UseCase&) const = default;
 };
 
 struct Settings {
@@ -62,6 +63,7 @@
   Time warm_up = 0;
   double fall_multiple = 1;
   Time fall_span = kSecond;
+  bool operator==(const Settings&) const = default;
 };
 
 // What an executor last said of its load; negative: not reported.
@@ -138,6 +140,7 @@
   void executor_listed(Time now, int executor, int zone, int kind, int cell, Standing standing, Time started);
   void roster_arrived(Time now, RosterForm form);
   void roster_refused(Time now);
+  void roster_moved(Time now);  // it is to be had elsewhere
 
   void submission_arrived(Time now, int submission, int use_case, Time due, double hint, int width);
   void launch_started(Time now, int submission, int launch);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -95,7 +95,7 @@
   std::vector<bool> lasts;
   std::vector<Id> closed, given_up;
   std::vector<std::pair<Time, std::uint64_t>> timers;
-  int watches = 0;
+  std::vector<std::string> watches;  // their addresses
   bool listening = true, running = true;
   void answer(Id client, Answer answer, const ParcelRef&, Time, bool last) override {
     answers.emplace_back(client, answer);
@@ -106,7 +106,7 @@
     launches.push_back({id, over, address});
   }
   void give_up(Id launch) override { given_up.push_back(launch); }
-  void watch_roster(std::uint64_t) override { ++watches; }
+  void watch_roster(const std::string& address, std::uint64_t) override { watches.push_back(address); }
   void wake_at(Time when, std::uint64_t token) override { timers.emplace_back(when, token); }
   void close_listener() override { listening = false; }
   void finish() override { running = false; }
@@ -114,7 +114,7 @@
 
 struct Core {
   explicit Core(int executors, int descriptors = 1024, Settings settings = small_settings())
-      : node(std::move(settings), terms(), descriptors, 1, effects, kNow) {
+      : node(std::move(settings), terms(), descriptors, 1, effects, kNow, "discovery:1") {
     for (int i = 0; i < executors; ++i) list(i, Standing::kReady);
     node.roster_arrived(kNow, RosterForm::kWhole, 1);
   }
@@ -253,7 +253,7 @@
     char folder[] = "/tmp/canvasstage-test-XXXXXX";
     if (mkdtemp(folder) == nullptr) throw std::runtime_error("no folder");
     folder_ = folder;
-    std::ofstream(folder_ + "/config.json") << config(sockets, listen, seed);
+    write_config(config(sockets, listen, seed, "127.0.0.1:1"));
     if (pipe(out_) != 0) throw std::runtime_error("no pipe");
     pid_ = fork();
     if (pid_ == 0) {
@@ -262,6 +262,7 @@
       ::close(out_[0]);
       ::close(out_[1]);
       setenv("NODE_CONFIG", (folder_ + "/config.json").c_str(), 1);
+      setenv("NODE_DISCOVERY", discovery.address.c_str(), 1);
       execl(CANVASSTAGE_PROGRAM, CANVASSTAGE_PROGRAM, nullptr);
       _exit(127);
     }
@@ -278,6 +279,12 @@
     rmdir(folder_.c_str());
   }
   void stop(int signal = SIGTERM) { kill(pid_, signal); }
+  // Replaces the file and says so.
+  void reload(const std::string& content) {
+    write_config(content);
+    kill(pid_, SIGHUP);
+  }
+  void write_config(const std::string& content) { std::ofstream(folder_ + "/config.json") << content; }
   // The exit code; -1: it was killed.
   int wait() {
     int status = 0;
@@ -325,12 +332,12 @@
   Listener discovery, first, second;
   std::string address;
 
- private:
-  std::string config(int sockets, const std::string& listen, const std::string& seed) const {
-    return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery.address +
-           R"(","seed":")" + seed + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
-           std::to_string(sockets) + R"(},"known":{"generation":1,"reset":true,"instances":[)" +
-           entry("s-1", first.address) + "," + entry("s-2", second.address) + R"(]},"settings":{
+  std::string config(int sockets, const std::string& listen, const std::string& seed,
+                     const std::string& discovery_at) const {
+    return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery_at + R"(","seed":")" +
+           seed + R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
+           R"(},"known":{"generation":1,"reset":true,"instances":[)" + entry("s-1", first.address) + "," +
+           entry("s-2", second.address) + R"(]},"settings":{
       "zones":["a"],"shapes":["m"],"locality":"a","replicasOfMe":2,"quantum":0.002,"membershipMode":"ask",
       "caps":{"mostLaunches":5,"connIdle":30,"connectTimeout":0.25,"cancelling":true},
       "domain":{"tellsStart":true,"progress":2},
@@ -342,6 +349,8 @@
         {"name":"charge","agreedTime":1,"hardLimit":5,"semantics":"single_shot",
           "overdueBillingValue":0.5}]}})";
   }
+
+ private:
   std::string folder_, log_, output_;
   int out_[2] = {-1, -1};
   pid_t pid_ = -1;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -51,6 +51,18 @@
   EXPECT_EQ(core.effects.given_up, std::vector<Id>{1});
 }
 
+// However long the pause after failures had grown.
+TEST(Core, DiscoveryThatMovedIsAskedAtOnce) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = true;
+  settings.ask_within = 10 * kSecond;
+  Core core(1, 1024, settings);
+  for (int i = 0; i < 6; ++i) core.node.roster_refused(kNow);
+  core.node.discovery_moved(kNow + 1, "discovery:2");
+  ASSERT_FALSE(core.effects.watches.empty());
+  EXPECT_EQ(core.effects.watches.back(), "discovery:2");
+}
+
 TEST(Core, WhatComesLateOfAnEndedLaunchFindsNothing) {
   Core core(1);
   core.arrive(5, 0);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -323,6 +323,71 @@
   EXPECT_TRUE(holds(client.read_message(), "found"));
 }
 
+// What was open goes on; the version held is asked for at the new address, which the file alone names.
+TEST(Program, AReloadMovesTheWatchAndServesOn) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  Listener moved;
+  run.reload(run.config(256, "127.0.0.1:0", "7", moved.address));
+  Peer next = moved.accept();
+  EXPECT_TRUE(starts(next.read_until("\r\n\r\n"), "GET /v1/servers?stream=1&index=2 "));
+  EXPECT_EQ(watch.read_to_end(), "");
+  next.begin_lines();
+  Running::tell(
+      next,
+      Running::entry("s-1", run.first.address, "left") + "," + Running::entry("s-2", run.second.address),
+      false);
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  executor.finish_job("open");
+  EXPECT_TRUE(holds(client.read_message(), "open"));
+  client.write(Running::job("lookup", "id2"));
+  Peer other = run.second.accept();
+  EXPECT_TRUE(holds(other.read_message(), "X-Correlation-Id: id2\r\n"));
+}
+
+TEST(Program, ABadFileAtAReloadIsNamedAndChangesNothing) {
+  Running run;
+  Peer watch = only_first(run);
+  Listener moved;
+  const std::string good = run.config(256, "127.0.0.1:0", "7", moved.address);
+  const std::string deep = R"({"name":)" + std::string(50000, '[');  // would overflow a small stack
+  for (const auto& [content, field] : std::vector<std::pair<std::string, std::string>>{
+           {good.substr(0, good.size() / 2), "NODE_CONFIG"},
+           {"", "NODE_CONFIG"},
+           {deep, "NODE_CONFIG"},
+           {run.config(256, "127.0.0.1:0", "7", "127.0.0.1:http"), "discovery"},
+           {run.config(0, "127.0.0.1:0", "7", moved.address), "limits.sockets"}}) {
+    run.reload(content);
+    EXPECT_TRUE(run.wait_for_log("reload: nothing changes: " + field)) << content.substr(0, 40);
+  }
+  Running::tell(watch, Running::entry("s-2", run.second.address), false);  // the old watch still counts
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  EXPECT_TRUE(moved.nobody_waits());
+  run.reload(run.config(128, "127.0.0.1:0", "8", moved.address));
+  EXPECT_TRUE(run.wait_for_log("reload: limits stays"));
+  moved.accept();
+}
+
+// The second comes while the first address still says nothing; a refused call is soon tried again.
+TEST(Program, SeveralReloadsEndAtTheLastAddress) {
+  Running run;
+  Peer watch = only_first(run);
+  Listener silent, moved;
+  run.reload(run.config(256, "127.0.0.1:0", "7", silent.address));
+  Peer unheard = silent.accept();
+  run.reload(run.config(256, "127.0.0.1:0", "7", moved.address));
+  moved.accept().write("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(unheard.read_until("\r\n\r\n").substr(0, 4), "GET ");
+  EXPECT_EQ(unheard.read_to_end(), "");
+  const auto from = std::chrono::steady_clock::now();
+  Peer next = moved.accept();
+  EXPECT_LT(std::chrono::steady_clock::now() - from, std::chrono::seconds(2));
+  EXPECT_TRUE(starts(next.read_until("\r\n\r\n"), "GET "));
+}
+
 TEST(Program, ABadConfigurationNamesItsField) {
   Running run(256, "127.0.0.1:0", "zz");
   EXPECT_EQ(run.wait(), 1);
