--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -98,7 +98,6 @@
   entry.pending = 0;
   entry.ended = false;
   policy_.submission_arrived(now, index, use_case, std::min(due, stop_by_), hint, width);
-  release_if_over(index);
 }
 
 void Node::answer(int submission, Answer answer, const ParcelRef& result, Time stay_away) {
@@ -109,6 +108,7 @@
   client.submission = -1;
   client.idle_since = now_;
   effects_.answer(entry.client, answer, result, stay_away, parting_);
+  release_if_over(submission);  // one that waited for room has no launch whose end would do it
 }
 
 void Node::release_if_over(int submission) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -63,6 +63,20 @@
   EXPECT_EQ(core.effects.watches.back(), "discovery:2");
 }
 
+// Pushed back while it waits for room, with no launch out: what it held goes back at once.
+TEST(Core, OneThatWaitedInVainGivesItsBufferBack) {
+  Core core(1);
+  core.arrive(5, 0);  // takes the only room
+  const auto waiting = std::make_shared<Parcel>();
+  core.node.client_opened(kNow, 6);
+  core.node.submission_arrived(kNow, 6, 0, kNow + kSecond, 0, 1, waiting);
+  EXPECT_EQ(waiting.use_count(), 2);
+  core.run_until(kNow + kSecond);
+  ASSERT_EQ(core.effects.answers.size(), 1u);
+  EXPECT_EQ(core.effects.answers[0], std::make_pair(Id{6}, Answer::kPushedBack));
+  EXPECT_EQ(waiting.use_count(), 1);
+}
+
 TEST(Core, WhatComesLateOfAnEndedLaunchFindsNothing) {
   Core core(1);
   core.arrive(5, 0);
