--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,6 +81,7 @@
   // A process that has restarted is a new one: what was learned of its health and load is void.
   if (executor.known && started > executor.started) {
     executor.good = executor.bad = DecayingSum{};
+    executor.away_until = executor.away = 0;
     executor.load = Load{};
     executor.cold_sends.clear();
   }
@@ -252,7 +253,7 @@
     const int i = from[at];
     Executor& executor = executors[i];
     at = at + 1 < from.size() ? at + 1 : 0;
-    if ((!connected_only || connected(now, executor)) && has_room(executor) &&
+    if ((!connected_only || connected(now, executor)) && has_room(executor) && now >= executor.away_until &&
         begins_by(now, executor, latest) && may_launch(now, submission, i) &&
         (!ask_health || (!tried(submission, i) && !doubted(now, executor))))
       ready_.push_back(i);
@@ -383,6 +384,18 @@
   executors[launch.executor].bad.add(now, kHealthLife, 1);
 }
 
+// Whoever refuses a connection is the first to be free again: four dead of nine took all five launches of
+// every submission within a millisecond, while sound ones were only full. So for a pause nothing goes there,
+// however few are left; it grows while every look finds nobody. Launches that find it together count as one
+// look.
+void Policy::nobody_there(Time now, Executor& executor) {
+  constexpr Time kFirst = kSecond / 20;  // a single connection that did not come up costs little
+  constexpr Time kMost = kSecond;        // one launch a second shows soon enough that it is back
+  if (now < executor.away_until) return;
+  executor.away = std::clamp(2 * executor.away, kFirst, kMost);
+  executor.away_until = now + executor.away;
+}
+
 // Drawn from the posterior of its chance of success: a doubtful executor is never quite forgotten.
 bool Policy::doubted(Time now, Executor& executor) {
   if (executor.bad.value < 0.3) return false;
@@ -753,6 +766,7 @@
   switch (outcome) {
     case Outcome::kSatisfied: {
       executor.good.add(now, kHealthLife, 1);
+      executor.away = 0;
       heard_from(now, executor, latency);
       const double took = std::max(1e-4, seconds(latency));
       const double mean = mean_speed();
@@ -771,9 +785,11 @@
       work_[submission.use_case] += std::max(kCostWeight, 1 / weight) * (work - work_[submission.use_case]);
       break;
     }
+    case Outcome::kUnreachable:
+      nobody_there(now, executor);
+      [[fallthrough]];
     case Outcome::kErrored:
     case Outcome::kBroken:
-    case Outcome::kUnreachable:
       executor.bad.add(now, kHealthLife, kErrorWeight);
       break;
     case Outcome::kTurnedAway:
--- a/src/policy.h
+++ b/src/policy.h
@@ -84,12 +84,13 @@
   std::uint64_t listed = 0;  // the last list that named it
   Standing standing = Standing::kGone;
   int zone = 0, kind = 0, cell = 0;
-  Time started = 0;              // 0: long ago
-  double work = 0, latency = 0;  // smoothed, of satisfied launches; their ratio is the speed
-  DecayingSum good, bad;         // outcomes, for the posterior of its chance of success
-  int connections = 0;           // open to it, busy or idle
-  Time used = 0;                 // when one was last
-  int open = 0, unstarted = 0;   // own launches unfinished, and of these not known to have begun
+  Time started = 0;               // 0: long ago
+  double work = 0, latency = 0;   // smoothed, of satisfied launches; their ratio is the speed
+  DecayingSum good, bad;          // outcomes, for the posterior of its chance of success
+  Time away_until = 0, away = 0;  // nobody was there: not before then, and for how long that is
+  int connections = 0;            // open to it, busy or idle
+  Time used = 0;                  // when one was last
+  int open = 0, unstarted = 0;    // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0;
   DecayingSum wait;  // seconds that the last launch waited to begin
   Load load;
@@ -186,6 +187,7 @@
   bool has_room(const Executor& executor) const;
   void heard_from(Time now, const Executor& executor, Time delay);
   void blame(Time now, Launch& launch);
+  void nobody_there(Time now, Executor& executor);
   double mean_leeway(const Submission& submission) const;
   int pending_launches(const Submission& submission) const;
   Time progress_patience() const;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -281,6 +281,32 @@
   EXPECT_EQ(node.host.launches.size(), 1u);
 }
 
+// A dead one refuses at once and would eat all launches of a submission; it is looked at again after a pause.
+TEST(Health, WhereNobodyIsThereNothingGoesForAPauseThatGrows) {
+  Decider node(1);
+  node.arrive(0, 0);
+  node.policy.launch_ended(kNow + 1, 0, 0, Outcome::kUnreachable, 1, false, nullptr);
+  node.look_at(0, kNow + 200);
+  EXPECT_EQ(node.host.launches.size(), 1u);
+  EXPECT_TRUE(node.host.aborted.empty());
+  node.look_at(0, kNow + 600);
+  ASSERT_EQ(node.host.launches.size(), 2u);
+  node.policy.launch_ended(kNow + 601, 0, 1, Outcome::kUnreachable, 1, false, nullptr);
+  node.look_at(0, kNow + 1500);
+  EXPECT_EQ(node.host.launches.size(), 2u);
+  node.look_at(0, kNow + 1700);
+  EXPECT_EQ(node.host.launches.size(), 3u);
+}
+
+TEST(Health, OneThatStartedAnewIsLookedAtAtOnce) {
+  Decider node(1);
+  node.arrive(0, 0);
+  node.policy.launch_ended(kNow + 1, 0, 0, Outcome::kUnreachable, 1, false, nullptr);
+  node.policy.executor_listed(kNow + 2, 0, 0, 0, 0, Standing::kReady, kNow - 20 * kSecond);
+  node.look_at(0, kNow + 20);
+  EXPECT_EQ(node.host.launches.size(), 2u);
+}
+
 // --- Further launches ---
 
 TEST(Further, ALaunchThatDoesNotBeginSeeksAFreeSlotElsewhere) {
