Bad clients: an open id, a missing or doubled field and silence are answered at once or closed

From reading the node beside the protocol, each shown by a test that failed before: nothing compared ids, so another's open id went on as a second copy; a referenced submission without its key and a field given twice were passed on; a line end without a carriage return and bytes that can be no head ran into the 10 s limit; a connection that said nothing was never closed and one that said half a request only after 10 s and 2 s of lingering, of which its buffer was held all along; the usual clients' kept connections made room for silent newcomers. At fault: Node::submission_arrived and make_room, hand_in, Head::read, serve_one and reject. Now an id is taken until no launch of it can be out, a first request has 2.5 s from connecting, a buffer goes back before lingering and when the submission is handed in.

--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -19,7 +19,7 @@
 };
 using ParcelRef = std::shared_ptr<const Parcel>;
 
-enum class Answer { kSatisfied, kPushedBack, kAborted };
+enum class Answer { kSatisfied, kPushedBack, kAborted, kRejected };
 
 class Effects {
  public:
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -80,12 +80,14 @@
   finish_if_done();
 }
 
-void Node::submission_arrived(Time now, Id client, int use_case, Time due, double hint, int width,
-                              ParcelRef submission) {
+void Node::submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
+                              int width, ParcelRef submission) {
   now_ = now;
   const auto found = clients_.find(client);
   if (found == clients_.end() || found->second.submission >= 0) return;
   if (found->second.refused) return effects_.answer(client, Answer::kPushedBack, nullptr, 0, true);
+  if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, true);
+  found->second.served = true;
   int index = static_cast<int>(entries_.size());
   if (unused_.empty()) {
     entries_.emplace_back();
@@ -96,6 +98,7 @@
   found->second.submission = index;
   Entry& entry = entries_[index];
   entry.client = client;
+  entry.id = id;
   entry.parcel = std::move(submission);
   entry.launches.clear();
   entry.pending = 0;
@@ -119,12 +122,15 @@
   if (!entry.ended || entry.pending > 0 || entry.client == 0) return;
   entry.client = 0;
   entry.parcel.reset();
+  ids_.erase(entry.id);
   unused_.push_back(submission);
 }
 
 // --- Descriptors ---
 
-// Clients hold at most half, so that what was taken can still be served. What is idle longest goes first.
+// Clients hold at most half, so that what was taken can still be served. What is idle longest goes first, of
+// those that have handed nothing in before all others: hundreds that say nothing must not cost the usual
+// ones.
 void Node::make_room(Id newest) {
   if (static_cast<int>(clients_.size()) > most_descriptors_ / 2 && !close_longest_idle_client())
     clients_.at(newest).refused = true;
@@ -136,7 +142,8 @@
   auto longest = clients_.end();
   for (auto client = clients_.begin(); client != clients_.end(); ++client)
     if (client->second.submission < 0 && client->second.idle_since < now_ &&
-        (longest == clients_.end() || client->second.idle_since < longest->second.idle_since))
+        (longest == clients_.end() || std::pair(client->second.served, client->second.idle_since) <
+                                          std::pair(longest->second.served, longest->second.idle_since)))
       longest = client;
   if (longest == clients_.end()) return false;
   longest->second.idle_since = now_;  // it is on its way out; the next one is another
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/effects.h"
@@ -25,9 +26,10 @@
   void client_opened(Time now, Id client);
   // Whatever it has open is given up: the client has gone away.
   void client_closed(Time now, Id client);
-  // `due` counts from the client's sending; `use_case` is an index of the settings.
-  void submission_arrived(Time now, Id client, int use_case, Time due, double hint, int width,
-                          ParcelRef submission);
+  // `due` counts from the client's sending; `use_case` is an index of the settings. One whose id is open
+  // already, or may be at an executor still, is rejected: passed on it would be a second copy.
+  void submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
+                          int width, ParcelRef submission);
 
   void launch_taken(Time now, Id launch);
   void launch_started(Time now, Id launch);
@@ -63,6 +65,7 @@
   // The index is used again once the submission has its answer and every launch of it has ended.
   struct Entry {
     Id client = 0;
+    std::string id;
     ParcelRef parcel;
     std::vector<Id> launches;
     int pending = 0;
@@ -71,6 +74,7 @@
   struct Client {
     int submission = -1;
     Time idle_since = 0;
+    bool served = false;   // has handed in a whole submission
     bool refused = false;  // one too many: what it hands in is pushed back unseen
   };
   struct Running {
@@ -107,6 +111,7 @@
   std::unordered_map<std::string, int> executor_indices_;
   std::vector<Place> places_;  // by executor
   std::vector<Entry> entries_;
+  std::unordered_set<std::string> ids_;  // of the entries in use
   std::vector<int> unused_;
   int links_ = 0;  // executor connections, busy or free
   Id last_launch_ = 0;
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -110,6 +110,7 @@
     terms.use_cases.emplace_back(text(needed(cases[i], "name"), "useCases.name"));
     terms.longest_hard_limit = std::max(terms.longest_hard_limit, to_time(setting(cases[i], "hardLimit", 0)));
     s.use_cases.push_back(decode_use_case(cases[i], domain, i));
+    terms.referenced.push_back(s.use_cases.back().effect == Effect::kReferenced);
   }
   const JsonValue& locality = member(settings, "locality");
   if (locality.IsString()) s.zone = index_of(terms.zones, text(locality, "locality"));
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -36,6 +36,7 @@
 // What the settings name or fix beside what the module reads.
 struct Terms {
   std::vector<std::string> zones, machine_kinds, use_cases, report_fields;
+  std::vector<bool> referenced;  // by use case: a submission without its reference is no submission
   Time longest_hard_limit = 0;
   Time connect_within = kSecond;
   Time drain_grace = kSecond;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -132,6 +132,13 @@
 
 Progress Head::read(std::string_view bytes) {
   static constexpr std::string_view kEnd = "\r\n\r\n";
+  // What can never become a head is refused at once, not when time runs out.
+  if (kind_ == Kind::kRequest && !bytes.empty() && !is_token(bytes[0])) return Progress::kBad;
+  for (std::size_t at = bytes.find('\n', looked_); at != std::string_view::npos;
+       at = bytes.find('\n', at + 1)) {
+    if (at == 0 || bytes[at - 1] != '\r') return Progress::kBad;
+    if (at >= 3 && bytes.substr(at - 3, 4) == kEnd) break;
+  }
   const std::size_t from = looked_ < kEnd.size() ? 0 : looked_ - kEnd.size() + 1;
   const std::size_t end = bytes.find(kEnd, from);
   looked_ = bytes.size();
@@ -195,7 +202,7 @@
     const auto& [name, value] = fields_[i];
     if (same_name(name, "Content-Length")) {
       std::uint64_t n = 0;
-      if (!read_number(value, n) || (has_length && n != length)) return false;
+      if (!read_number(value, n) || has_length) return false;
       has_length = true;
       length = n;
     } else if (same_name(name, "Transfer-Encoding")) {
@@ -217,9 +224,10 @@
   return true;
 }
 
-bool Head::has(std::string_view name) const {
-  return std::any_of(fields_.begin(), fields_.begin() + static_cast<std::ptrdiff_t>(count_),
-                     [&](const Field& f) { return same_name(f.name, name); });
+std::size_t Head::count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(fields_.begin(),
+                                                fields_.begin() + static_cast<std::ptrdiff_t>(count_),
+                                                [&](const Field& f) { return same_name(f.name, name); }));
 }
 
 std::string_view Head::field(std::string_view name) const {
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -63,7 +63,7 @@
   bool keep_alive = true;
   // The first field of that name, compared without case; empty: none.
   std::string_view field(std::string_view name) const;
-  bool has(std::string_view name) const;
+  std::size_t count(std::string_view name) const;  // how often it stands there
 
  private:
   struct Field {
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -11,11 +11,12 @@
 namespace canvasstage::net {
 namespace {
 
-// How often a thread that waits for bytes looks up, and how long a client may take for one submission or to
-// close after the last answer.
-constexpr Milliseconds kLookUp{1000};
-constexpr Time kMostReading = 10 * kSecond;
-constexpr Time kLinger = kSecond;
+// How often a thread that waits for bytes looks up. How long a client may take until its first submission has
+// come whole, counted from connecting, or any later one, counted from its first byte: within 3 s it is owed
+// an error or a close. How long it may take to close after the last answer.
+constexpr Time kLookUp = kSecond;
+constexpr Time kMostReading = kSecond * 5 / 2;
+constexpr Time kLinger = kSecond / 4;
 // A client that takes nothing for this long has lost its answer.
 constexpr Milliseconds kMostSending{1000};
 
@@ -88,7 +89,6 @@
 ClientConnection::ClientConnection(Id id, Socket socket, std::string peer, World& world)
     : id_(id), socket_(std::move(socket)), peer_(std::move(peer)), world_(world) {
   socket_.limit_sending(kMostSending);
-  socket_.limit_reading(kLookUp);
 }
 
 void ClientConnection::answer(int status, std::string_view extra, const ParcelRef& result, bool last,
@@ -147,12 +147,19 @@
   Reason reason = Reason::kPeerClosed;
   while (serve_one(reason)) {
   }
+  if (lingers_) linger();  // by now it holds no buffer
   log_connection_end(Side::kClient, id_, peer_, reason);
 }
 
+void ClientConnection::wait_until(Time then) {
+  socket_.limit_reading(Milliseconds(std::max<Time>(1, (then - now()) / (kSecond / 1000))));
+}
+
 bool ClientConnection::serve_one(Reason& reason) {
   char first;
   while (carry_.empty()) {
+    if (fresh_ && now() >= opened_ + kMostReading) return reason = Reason::kSilent, false;
+    wait_until(fresh_ ? opened_ + kMostReading : now() + kLookUp);
     const long n = socket_.read(&first, 1, MSG_PEEK);
     if (n > 0) break;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
@@ -166,11 +173,12 @@
   const std::size_t carried = carry_.size();
   std::memcpy(submission->buffer.data(), carry_.data(), carried);
   carry_.clear();
-  return read_submission(submission, carried, reason) && hand_in(submission, reason);
+  return read_submission(submission, carried, reason) && hand_in(std::move(submission), reason);
 }
 
 bool ClientConnection::read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason) {
   for (;;) {
+    wait_until(until);
     const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
     if (n > 0) {
       size += static_cast<std::size_t>(n);
@@ -187,7 +195,7 @@
                                        Reason& reason) {
   Submitted& s = *submission;
   char* const data = s.buffer.data();
-  const Time until = now() + kMostReading;
+  const Time until = (fresh_ ? opened_ : now()) + kMostReading;
   std::size_t size = carried;
   http::Progress progress = http::Progress::kMore;
   for (;;) {
@@ -219,11 +227,16 @@
   return true;
 }
 
-bool ClientConnection::hand_in(const std::shared_ptr<Submitted>& submission, Reason& reason) {
+bool ClientConnection::hand_in(std::shared_ptr<Submitted> submission, Reason& reason) {
   const Time came = now();
   const http::Head& head = submission->head;
   const std::string_view path = head.target.substr(0, head.target.find('?'));
   keep_alive_ = head.keep_alive;
+  fresh_ = false;
+  // Twice, and two readers could take two different ones.
+  for (const char* const used :
+       {"Host", "X-Correlation-Id", "X-Account", "X-Time-Left", "X-Facts", "Idempotency-Key"})
+    if (head.count(used) > 1) return reject(400, Reason::kBadMessage, reason);
   if (head.method == "GET" && path == "/healthz") {
     std::string out;
     http::Writer writer(out);
@@ -231,7 +244,7 @@
     if (!keep_alive_) writer.field("Connection", "close");
     writer.body("");
     if (!socket_.write(out, {})) return reason = Reason::kSendFailed, false;
-    if (!keep_alive_) linger();
+    lingers_ = !keep_alive_;
     reason = Reason::kAnsweredLast;
     return keep_alive_;
   }
@@ -242,14 +255,17 @@
   Time left = 0;
   if (head.field("X-Correlation-Id").empty() || !read_time_left(head.field("X-Time-Left"), left))
     return reject(400, Reason::kBadMessage, reason);
+  if (world_.terms.referenced[static_cast<std::size_t>(use_case)] && head.field("Idempotency-Key").empty())
+    return reject(400, Reason::kBadMessage, reason);
   const int width = std::max(1, static_cast<int>(std::min(fact(head.field("X-Facts"), "slots", 1), 1e6)));
   {
     const std::lock_guard lock(mutex_);
     open_ = true;
   }
-  world_.reducer.post([&world = world_, id = id_, use_case, due = came + left, width,
-                       parcel = ParcelRef(submission)](Time now) {
-    world.node->submission_arrived(now, id, use_case, due, 0, width, parcel);
+  std::string name(head.field("X-Correlation-Id"));
+  world_.reducer.post([&world = world_, id = id_, name = std::move(name), use_case, due = came + left, width,
+                       parcel = ParcelRef(std::move(submission))](Time now) {
+    world.node->submission_arrived(now, id, name, use_case, due, 0, width, parcel);
   });
   return await_answer(reason);
 }
@@ -257,6 +273,7 @@
 // Stays in a read, so that a client that goes away is seen.
 bool ClientConnection::await_answer(Reason& reason) {
   char byte;
+  wait_until(now() + kLookUp);
   for (;;) {
     long n = carry_.empty() ? socket_.read(&byte, 1, MSG_PEEK) : 1;
     const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -265,8 +282,7 @@
     if (n > 0 || (n == 0 && reading_shut_)) answered_.wait(lock, [this] { return !open_; });
     if (!open_ && last_) {
       reason = Reason::kAnsweredLast;
-      lock.unlock();
-      linger();
+      lingers_ = true;
       return false;
     }
     if (!waiting && n <= 0) {
@@ -282,7 +298,7 @@
   http::Writer(out).answer(status).field("Connection", "close").body("");
   socket_.write(out, {});
   reason = why;
-  linger();
+  lingers_ = true;
   return false;
 }
 
@@ -290,6 +306,7 @@
 void ClientConnection::linger() {
   socket_.shut(SHUT_WR);
   const Time until = now() + kLinger;
+  wait_until(until);
   char rest[512];
   while (now() < until && socket_.read(rest, sizeof rest) > 0) {
   }
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -52,9 +52,10 @@
 
  private:
   bool serve_one(Reason& reason);
+  void wait_until(Time then);
   bool read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason);
   bool read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried, Reason& reason);
-  bool hand_in(const std::shared_ptr<Submitted>& submission, Reason& reason);
+  bool hand_in(std::shared_ptr<Submitted> submission, Reason& reason);
   bool await_answer(Reason& reason);
   bool reject(int status, Reason why, Reason& reason);
   void linger();
@@ -64,7 +65,10 @@
   const Socket socket_;
   const std::string peer_;
   World& world_;
-  std::string carry_;  // what came behind the submission that is open
+  const Time opened_ = now();
+  bool fresh_ = true;     // nothing whole has come yet
+  bool lingers_ = false;  // its last answer may still be on its way
+  std::string carry_;     // what came behind the submission that is open
   bool keep_alive_ = true;
   std::mutex mutex_;
   std::condition_variable answered_;
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -130,7 +130,7 @@
   const Time left = std::max<Time>(0, work_.give_up_at - now());
   writer.request(head.method, head.target).field("Host", "backend.local");
   for (const std::string_view name : {"X-Correlation-Id", "Idempotency-Key"})
-    if (head.has(name)) writer.field(name, head.field(name));
+    if (head.count(name) > 0) writer.field(name, head.field(name));
   writer.field("X-Time-Left", std::to_string(left / (kSecond / 1000)) + "m")
       .field("Content-Length", std::to_string(work_.submission->body.size()))
       .end();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -68,7 +68,10 @@
   char extra[64] = "";
   if (stay_away > 0)
     std::snprintf(extra, sizeof extra, "Retry-After: %.3f\r\n", static_cast<double>(stay_away) / kSecond);
-  const int status = answer == Answer::kSatisfied ? 200 : answer == Answer::kPushedBack ? 503 : 502;
+  const int status = answer == Answer::kSatisfied    ? 200
+                     : answer == Answer::kPushedBack ? 503
+                     : answer == Answer::kRejected   ? 400
+                                                     : 502;
   found->second->answer(status, extra, result, last, writers_);
 }
 
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -136,7 +136,8 @@
   // A client of its own hands it in.
   void arrive(Id client, int use_case, Time now = kNow) {
     node.client_opened(now, client);
-    node.submission_arrived(now, client, use_case, now + 5 * kSecond, 0, 1, nullptr);
+    const std::string id = "id" + std::to_string(++arrived);
+    node.submission_arrived(now, client, id, use_case, now + 5 * kSecond, 0, 1, nullptr);
   }
   void end(Id launch, Outcome outcome, Time now, bool kept = false) {
     node.launch_ended(now, launch, outcome, nullptr, kept, nullptr);
@@ -153,6 +154,7 @@
       node.timer_due(when, token);
     }
   }
+  int arrived = 0;
   FakeEffects effects;
   canvasstage::Node node;
 };
@@ -170,10 +172,14 @@
     if (net::connect_to(socket, address) != 0) throw std::runtime_error("cannot connect to " + address);
     return Peer(std::move(socket));
   }
-  Peer& write(const std::string& bytes) {
+  Peer& write(const std::string& bytes) & {
     socket_.write(bytes, {});
     return *this;
   }
+  Peer write(const std::string& bytes) && {
+    socket_.write(bytes, {});
+    return std::move(*this);
+  }
   // Up to and with these bytes; what came first if the stream ends before them.
   std::string read_until(const std::string& mark) {
     std::size_t at;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -69,11 +69,11 @@
   const auto with = [](const std::string& fields) {
     return request("POST / HTTP/1.1\r\n" + fields + "\r\n");
   };
-  EXPECT_EQ(with("Content-Length: 5\r\nContent-Length: 5\r\n"), Progress::kDone);
   for (const char* const bad :
-       {"Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: -1\r\n", "Content-Length: 5x\r\n",
-        "Content-Length:\r\n", "Content-Length: 99999999999999999999\r\n",
-        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n"})
+       {"Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
+        "Content-Length: -1\r\n", "Content-Length: 5x\r\n", "Content-Length:\r\n",
+        "Content-Length: 99999999999999999999\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n"})
     EXPECT_EQ(with(bad), Progress::kBad) << bad;
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -69,7 +69,7 @@
   core.arrive(5, 0);  // takes the only room
   const auto waiting = std::make_shared<Parcel>();
   core.node.client_opened(kNow, 6);
-  core.node.submission_arrived(kNow, 6, 0, kNow + kSecond, 0, 1, waiting);
+  core.node.submission_arrived(kNow, 6, "six", 0, kNow + kSecond, 0, 1, waiting);
   EXPECT_EQ(waiting.use_count(), 2);
   core.run_until(kNow + kSecond);
   ASSERT_EQ(core.effects.answers.size(), 1u);
@@ -106,6 +106,38 @@
   EXPECT_EQ(core.effects.answers[0], std::make_pair(Id{6}, Answer::kAborted));
 }
 
+// Passed on it would be a second copy, also while a launch whose client has left may still be out.
+TEST(Core, AnIdThatIsOpenIsRejectedUntilNoLaunchOfItIsOut) {
+  Core core(2);
+  const auto hand_in = [&core](Id client) {
+    core.node.client_opened(kNow, client);
+    core.node.submission_arrived(kNow, client, "same", 0, kNow + kSecond, 0, 1, nullptr);
+  };
+  hand_in(5);
+  hand_in(6);
+  ASSERT_EQ(core.effects.answers.size(), 1u);
+  EXPECT_EQ(core.effects.answers[0], std::make_pair(Id{6}, Answer::kRejected));
+  EXPECT_TRUE(core.effects.lasts[0]);
+  core.node.client_closed(kNow + 1, 5);
+  hand_in(7);
+  EXPECT_EQ(core.effects.answers.size(), 2u);
+  EXPECT_EQ(core.effects.launches.size(), 1u);
+  core.end(1, Outcome::kBroken, kNow + 2);
+  hand_in(8);
+  EXPECT_EQ(core.effects.answers.size(), 2u);
+  EXPECT_EQ(core.effects.launches.size(), 2u);
+}
+
+// However long the usual one has been idle.
+TEST(Core, WhoeverHandedNothingInMakesRoomFirst) {
+  Core core(1, 64);  // 27 clients
+  core.arrive(100, 0);
+  core.end(1, Outcome::kSatisfied, kNow + 1, true);
+  for (Id client = 1; client <= 27; ++client)
+    core.node.client_opened(kNow + kSecond + static_cast<Time>(client), client);
+  EXPECT_EQ(core.effects.closed, std::vector<Id>{1});
+}
+
 TEST(Core, WhatComesLateOfAnEndedLaunchFindsNothing) {
   Core core(1);
   core.arrive(5, 0);
@@ -192,7 +224,8 @@
   EXPECT_EQ(core.effects.closed, std::vector<Id>{1});
   core.node.client_closed(kNow + 11, 1);
   for (Id client = 2; client <= 7; ++client)
-    core.node.submission_arrived(kNow + 20, client, 0, kNow + kSecond, 0, 1, nullptr);
+    core.node.submission_arrived(kNow + 20, client, "n" + std::to_string(client), 0, kNow + kSecond, 0, 1,
+                                 nullptr);
   core.arrive(8, 0, kNow + 30);
   ASSERT_EQ(core.effects.answers.size(), 1u);
   EXPECT_EQ(core.effects.answers[0], std::make_pair(Id{8}, Answer::kPushedBack));
@@ -237,7 +270,7 @@
   core.run_until(kNow + kSecond * 3 / 2);
   EXPECT_TRUE(core.effects.closed.empty());
   EXPECT_TRUE(core.effects.listening);
-  core.node.submission_arrived(kNow + kSecond * 3 / 2, 5, 0, kNow + 6 * kSecond, 0, 1, nullptr);
+  core.node.submission_arrived(kNow + kSecond * 3 / 2, 5, "five", 0, kNow + 6 * kSecond, 0, 1, nullptr);
   core.end(1, Outcome::kSatisfied, kNow + kSecond * 8 / 5, true);
   ASSERT_EQ(core.effects.answers.size(), 1u);
   EXPECT_FALSE(core.effects.lasts[0]);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -231,6 +231,10 @@
       {"POST /lookup HTTP/1.1\r\n" + id + "X-Time-Left: 5s\r\n\r\n", "400"},
       {"POST /lookup HTTP/1.1\r\n" + id + "X-Time-Left: -5m\r\n\r\n", "400"},
       {"POST /lookup HTTP/1.1\r\nX-Time-Left: 5m\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\r\n" + id + id + "X-Time-Left: 5m\r\n\r\n", "400"},
+      {"POST /phase-run HTTP/1.1\r\n" + id + "X-Time-Left: 5m\r\n\r\n", "400"},
+      {"POST /lookup HTTP/1.1\n", "400"},
+      {"\x16\x03\x01", "400"},
       {"POST /lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
       {"POST /unknown HTTP/1.1\r\n" + id + "X-Time-Left: 5m\r\n\r\n", "404"},
       {"GET /lookup HTTP/1.1\r\n\r\n", "405"},
@@ -248,6 +252,35 @@
   EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
 }
 
+// Whoever says nothing, or half of something, is closed in time; a kept connection may be silent.
+TEST(Program, ClientsThatDoNotGetOnWithItAreClosed) {
+  Running run;
+  Peer kept = run.client();
+  kept.write("GET /healthz HTTP/1.1\r\n\r\n");
+  kept.read_message();
+  const auto from = std::chrono::steady_clock::now();
+  std::vector<Peer> bad;
+  for (const char* const half : {"", "POST /loo", "POST /lookup HTTP/1.1\r\nContent-Length: 9\r\n\r\nab"})
+    bad.push_back(run.client().write(half));
+  for (Peer& one : bad) one.read_to_end();
+  EXPECT_LT(std::chrono::steady_clock::now() - from, std::chrono::seconds(3));
+  kept.write("GET /healthz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(starts(kept.read_message(), "HTTP/1.1 200 "));
+}
+
+TEST(Program, AnIdThatIsOpenIsRejected) {
+  Running run;
+  Peer watch = only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  Peer other = run.client();
+  other.write(Running::job("lookup", "id1"));
+  EXPECT_TRUE(starts(other.read_to_end(), "HTTP/1.1 400 "));
+  executor.finish_job("one");
+  EXPECT_TRUE(holds(client.read_message(), "one"));
+}
+
 TEST(Program, AChunkedBodyGoesOnWhole) {
   Running run;
   Peer watch = only_first(run);
