A launch that fell silent as it ran is looked at again soon

At fault: Policy::further, which after a look that finds nobody else sets no further wake-up but the hard limit. Ruled out: long runs (they tell of progress), the roster (nine or more ready).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -702,8 +702,10 @@
     return end(now, index, true);
   }
   if (pending && stuck) seek_elsewhere(now, index, silent);
-  // What waits in a queue will begin; one that nobody has must not be left there for want of room elsewhere.
-  if (silent && !submission.launches.back().cancelled) next = std::min(next, now + kSecond / 20);
+  // What waits in a queue will begin. One that nobody has, or that fell silent as it ran, will not: where
+  // nobody else may be had at this moment it is looked at again soon, not just before its hard limit.
+  if (pending && stuck && (silent || begun) && !submission.launches.back().cancelled)
+    next = std::min(next, now + kSecond / 20);
   if (submission.held) {
     serve_held(now);
     next = std::min(next, now + kSecond / 50);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -138,6 +138,23 @@
   EXPECT_EQ(core.effects.closed, std::vector<Id>{1});
 }
 
+// Nobody else is to be had when it is found silent; it does not stay there until its time is over.
+TEST(Core, ALaunchThatFellSilentAsItRanIsLookedAtAgain) {
+  Settings settings = small_settings();
+  settings.second_copies = false;
+  settings.progress_every = 2 * kSecond;
+  Core core(2, 1024, settings);
+  core.arrive(5, 0);
+  core.node.launch_started(kNow + 1, 1);
+  const int other = 1 - core.node.policy().submissions[0].launches[0].executor;
+  for (const int i : {0, 1}) core.list(i, Standing::kDraining);
+  core.run_until(kNow + kSecond * 33 / 10);
+  EXPECT_TRUE(core.effects.given_up.empty());
+  core.list(other, Standing::kReady, kNow + kSecond * 33 / 10);
+  core.run_until(kNow + kSecond * 34 / 10);
+  EXPECT_EQ(core.effects.given_up, std::vector<Id>{1});
+}
+
 TEST(Core, WhatComesLateOfAnEndedLaunchFindsNothing) {
   Core core(1);
   core.arrive(5, 0);
