--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -796,7 +796,7 @@
   // One that ends without an answer takes its connection with it.
   if (settings_.streams == 1 && outcome != Outcome::kSatisfied && outcome != Outcome::kErrored &&
       outcome != Outcome::kTurnedAway)
-    executor.connections = std::max(0, executor.connections - 1);
+    connection_closed(launch.executor);
   take_load(now, executor, load);
   switch (outcome) {
     case Outcome::kSatisfied: {
