A submission that was launched before looks where nobody was only after a second

A trace of every launch shows the sound executors full at that moment, so pick() fell to the dead ones as soon as their pause was over, and each submission paid for the look. At fault: find_ready(), which asked away_until alone. Ruled out: late notice from discovery (1 s, as told), launches still counted as open at the dead. Now a first launch looks; one with launches behind it waits a second from the last look.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -239,6 +239,10 @@
          now - executor.used < settings_.connection_idle;
 }
 
+// For so long nothing goes where connections are refused, at most: one launch a second shows soon enough that
+// it is back.
+constexpr Time kMostAway = kSecond;
+
 // Fills the ready set, from the connected executors or from the whole roster. A look at all of a large fleet
 // for every launch costs too much: from a random place in an order of this node's own it goes on for kLooks,
 // and then only until as many are ready as TPD draws at least.
@@ -248,12 +252,15 @@
   const std::vector<int>& from = connected_only ? contacts : order_;
   ready_.clear();
   if (from.empty()) return;
+  // Whoever has launches behind it has few left, and none for one more look where nobody was.
+  const bool looks = submission.launches.empty();
   std::size_t at = connected_only ? 0 : random_() % from.size();
   for (std::size_t n = 0; n < from.size() && (n < kLooks || ready_.size() < kLeastReady); ++n) {
     const int i = from[at];
     Executor& executor = executors[i];
     at = at + 1 < from.size() ? at + 1 : 0;
-    if ((!connected_only || connected(now, executor)) && has_room(executor) && now >= executor.away_until &&
+    if ((!connected_only || connected(now, executor)) && has_room(executor) &&
+        now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
         begins_by(now, executor, latest) && may_launch(now, submission, i) &&
         (!ask_health || (!tried(submission, i) && !doubted(now, executor))))
       ready_.push_back(i);
@@ -390,9 +397,8 @@
 // look.
 void Policy::nobody_there(Time now, Executor& executor) {
   constexpr Time kFirst = kSecond / 20;  // a single connection that did not come up costs little
-  constexpr Time kMost = kSecond;        // one launch a second shows soon enough that it is back
   if (now < executor.away_until) return;
-  executor.away = std::clamp(2 * executor.away, kFirst, kMost);
+  executor.away = std::clamp(2 * executor.away, kFirst, kMostAway);
   executor.away_until = now + executor.away;
 }
 
