A new connection's price counts as delay; a handshake's wait is no queue to a late submission

Of 305 opened, 158 followed one that its executor had ended, and in a third of the cases another connected executor was ready: pick() knew only whether two connected ones were, not what a new one costs. Now the price of the settings is part of the delay to the executor, in the draw and in the finish. Ruled out: choice among connected ones (used last first), connections closed by us (none but those of launches taken back).

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -123,7 +123,7 @@
   s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
   s.connection_idle = to_time(setting(caps, "connIdle", 0));
   terms.connect_within = to_time(setting(caps, "connectTimeout", 1));
-  s.connections_cost = setting(member(settings, "prices"), "handshake", 0) > 0;
+  s.connection_price = setting(member(settings, "prices"), "handshake", 0);
   s.second_copies = flag(caps, "secondCopies");
   s.cancelling = flag(caps, "cancelling");
   if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -222,6 +222,9 @@
   executor.wait.at = now;
 }
 
+// What a launch waits where nothing is queued: a handshake, jitter and a few beats of the clock.
+constexpr Time kNoQueue = kSecond / 40;
+
 // Whether one sent now would begin in time if it waits like the last; a wait that is short enough undecayed
 // needs no reading.
 bool Policy::begins_by(Time now, Executor& executor, Time latest) const {
@@ -243,12 +246,22 @@
 // it is back.
 constexpr Time kMostAway = kSecond;
 
+// What a new connection costs, as the delay that lowers the worth of a usual submission of this kind as much.
+double Policy::opening(Time now, const Submission& submission, const Executor& executor) {
+  if (settings_.connection_price <= 0 || connected(now, executor)) return 0;
+  const UseCase& use_case = settings_.use_cases[submission.use_case];
+  const double mean_value =
+      asked_value_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
+  const double falls = use_case.billing_value * std::max(0.1, 1 - use_case.overdue_value);
+  return settings_.connection_price * mean_value / falls * mean_leeway(submission);
+}
+
 // Fills the ready set, from the connected executors or from the whole roster. A look at all of a large fleet
 // for every launch costs too much: from a random place in an order of this node's own it goes on for kLooks,
 // and then only until as many are ready as TPD draws at least.
 void Policy::find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health) {
   constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
-  const Time latest = std::max(last_start(submission, kGiveWayChance), now);
+  const Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
   const std::vector<int>& from = connected_only ? contacts : order_;
   ready_.clear();
   if (from.empty()) return;
@@ -279,9 +292,11 @@
   const double work = cost(submission);
   double sum = 0;
   chances_.clear();
+  delays_.clear();
   for (const int i : ready_) {
     const double p = work / speed(executors[i]);
-    chances_.push_back(work / (p + seconds(delay(executors[i]))));
+    delays_.push_back(seconds(delay(executors[i])) + opening(now, submission, executors[i]));
+    chances_.push_back(work / (p + delays_.back()));
     sum += chances_.back();
   }
   for (double& chance : chances_) chance /= sum;
@@ -304,7 +319,7 @@
       queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
                 std::exp(-static_cast<double>(now - executor.load_at) / static_cast<double>(fade));
     queued += executor.wait.read(now, fade);
-    const double finish = queued + work / v + seconds(delay(executor));
+    const double finish = queued + work / v + delays_[drawn];
     if (best < 0 || finish < least) {
       best = ready_[drawn];
       least = finish;
@@ -636,9 +651,8 @@
 // How long a launch waits to begin before a free slot is sought elsewhere. An executor with a free slot tells
 // of the start one round trip after the send, so any longer means a queue, whose length nobody tells.
 Time Policy::queue_patience(const Launch& launch) const {
-  constexpr Time kSlack = kSecond / 40;  // a handshake, jitter and a few beats of the clock
-  constexpr double kOfRun = 0.1;         // a wait that is little beside the run is not worth a connection
-  return kSlack + 2 * delay(executors[launch.executor]) + from_seconds(kOfRun * launch.cost / mean_speed());
+  constexpr double kOfRun = 0.1;  // a wait that is little beside the run is not worth a connection
+  return kNoQueue + 2 * delay(executors[launch.executor]) + from_seconds(kOfRun * launch.cost / mean_speed());
 }
 
 // How long one that has begun may go without progress: one note may come late, a second one is missing.
@@ -726,7 +740,7 @@
   if (settings_.second_copies) {
     // Nodes that see little find a free slot by looking into one more place. 4 is no better, and 3 loses
     // where connections have a price.
-    const int most_pending = settings_.connections_cost ? 2 : 3;
+    const int most_pending = settings_.connection_price > 0 ? 2 : 3;
     if (pending_launches(submission) >= most_pending) return;
     const int to = pick(now, submission);
     if (to >= 0) send(now, index, to);
--- a/src/policy.h
+++ b/src/policy.h
@@ -53,7 +53,7 @@
   Time quantum = 0;
   int streams = 1;  // launches that one connection carries at once
   Time connection_idle = 0;
-  bool connections_cost = false;
+  double connection_price = 0;  // of one opened, in the mean value of a submission
   int most_launches = 1;
   bool second_copies = false;
   bool cancelling = false;
@@ -160,6 +160,7 @@
   double speed(const Executor& executor) const;
   void count_speed(const Executor& executor, int sign);  // into the mean, or out of it
   Time delay(const Executor& executor) const;
+  double opening(Time now, const Submission& submission, const Executor& executor);
   static int choices(const std::vector<double>& chances);
   int pick(Time now, const Submission& submission);
   bool may_launch(Time now, const Submission& submission, int executor);
@@ -228,9 +229,9 @@
   Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
-  std::vector<int> order_;       // all executors, as this node goes through them
-  std::vector<int> ready_;       // scratch of pick
-  std::vector<double> chances_;  // scratch of pick
+  std::vector<int> order_;                // all executors, as this node goes through them
+  std::vector<int> ready_;                // scratch of pick
+  std::vector<double> chances_, delays_;  // scratch of pick
 };
 
 }  // namespace canvasstage
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -374,7 +374,7 @@
 TEST(Further, NoThirdCopyWhileTwoArePendingWhereConnectionsCost) {
   for (const bool cost : {true, false}) {
     Settings settings = small_settings();
-    settings.connections_cost = cost;
+    settings.connection_price = cost ? 0.1 : 0;
     Decider node(5, settings);
     node.arrive(0, 0);
     for (int i = 1; i < 5; ++i) node.look_at(0, kNow + i * kSecond / 2);
@@ -449,6 +449,23 @@
 }
 
 // With many nodes each executor's queue is made of one launch of every node, and no node holds anything.
+// Over sockets no launch begins at once: a handshake is no queue, also for one past its last start in time.
+TEST(Overload, AWaitOfAHandshakeLeavesRoomForOneThatIsLate) {
+  Settings settings = small_settings();
+  settings.use_cases[0].agreed_time = 0;
+  Decider node(1, settings);
+  Executor& executor = node.policy.executors[0];
+  executor.unstarted = 1;
+  node.arrive(0, 0);
+  ASSERT_TRUE(node.host.launches.empty());
+  const Time late = kNow + 400;  // its last start was 22 ms after it came
+  executor.unstarted = 0;
+  executor.wait.value = 0.02;
+  executor.wait.at = late;
+  node.look_at(0, late);
+  EXPECT_EQ(node.host.launches.size(), 1u);
+}
+
 TEST(Overload, ALaunchThatWaitsAtASoundExecutorTellsOfItToo) {
   Settings settings = small_settings();
   settings.use_cases[0].agreed_time = kSecond / 10;
@@ -507,6 +524,27 @@
 
 // A launch that is taken back closes its connection; counting it as free would hide the price of the next
 // one.
+// Its price is a delay like that of another zone: small beside a queue, but it decides between equals.
+TEST(Connections, ANewOneIsOpenedWhereThatIsFasterByMoreThanItsPrice) {
+  Settings settings = small_settings();
+  settings.connection_idle = 10 * kSecond;
+  settings.connection_price = 0.1;
+  settings.use_cases[0].stretch = 2;
+  Decider node(2, settings);
+  node.policy.executors[1].connections = 1;
+  node.policy.executors[1].used = kNow;
+  node.policy.executors[1].open_cost = 0.05;
+  node.policy.contacts.push_back(1);
+  node.arrive(0, 0);
+  ASSERT_EQ(node.host.launches.size(), 1u);
+  EXPECT_EQ(node.host.launches[0].executor, 1);
+  node.policy.executors[1].connections = 2;
+  node.policy.executors[1].open_cost = 0.5;
+  --node.policy.executors[1].unstarted;
+  node.arrive(1, 0);
+  EXPECT_EQ(node.host.launches[1].executor, 0);
+}
+
 TEST(Connections, OneThatEndsWithoutAnAnswerIsGone) {
   Settings settings = small_settings();
   settings.connection_idle = 10 * kSecond;
