--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -11,10 +11,13 @@
 namespace canvasstage::net {
 namespace {
 
-// How often a thread that waits for bytes looks up. How long a client may take until its first submission has
-// come whole, counted from connecting, or any later one, counted from its first byte: within 3 s it is owed
-// an error or a close. How long it may take to close after the last answer.
-constexpr Time kLookUp = kSecond;
+// How often a thread that waits for bytes looks up; the reducer wakes it by ending the reading. How long a
+// client may say nothing after connecting: whoever connects has something to hand in, and a thread each for
+// hundreds that have not is what a part of a core can bear least. How long it may take until its first
+// submission has come whole, counted from connecting, or any later one, counted from its first byte: within
+// 3 s it is owed an error or a close. How long it may take to close after the last answer.
+constexpr Time kLookUp = 30 * kSecond;
+constexpr Time kMostSilence = kSecond * 3 / 2;
 constexpr Time kMostReading = kSecond * 5 / 2;
 constexpr Time kLinger = kSecond / 4;
 // A client that takes nothing for this long has lost its answer.
@@ -158,8 +161,8 @@
 bool ClientConnection::serve_one(Reason& reason) {
   char first;
   while (carry_.empty()) {
-    if (fresh_ && now() >= opened_ + kMostReading) return reason = Reason::kSilent, false;
-    wait_until(fresh_ ? opened_ + kMostReading : now() + kLookUp);
+    if (fresh_ && now() >= opened_ + kMostSilence) return reason = Reason::kSilent, false;
+    wait_until(fresh_ ? opened_ + kMostSilence : now() + kLookUp);
     const long n = socket_.read(&first, 1, MSG_PEEK);
     if (n > 0) break;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
@@ -240,13 +243,11 @@
   if (head.method == "GET" && path == "/healthz") {
     std::string out;
     http::Writer writer(out);
-    writer.answer(200);
-    if (!keep_alive_) writer.field("Connection", "close");
-    writer.body("");
-    if (!socket_.write(out, {})) return reason = Reason::kSendFailed, false;
-    lingers_ = !keep_alive_;
-    reason = Reason::kAnsweredLast;
-    return keep_alive_;
+    // Whoever only asks and stays holds a thread and a descriptor for nothing.
+    writer.answer(200).field("Connection", "close").body("");
+    lingers_ = !carry_.empty();
+    reason = socket_.write(out, {}) ? Reason::kAnsweredLast : Reason::kSendFailed;
+    return false;
   }
   if (head.method != "POST") return reject(405, Reason::kBadMessage, reason);
   const std::string_view first = path.substr(1, std::min(path.find('/', 1), path.size()) - 1);
@@ -307,8 +308,7 @@
   socket_.shut(SHUT_WR);
   const Time until = now() + kLinger;
   wait_until(until);
-  char rest[512];
-  while (now() < until && socket_.read(rest, sizeof rest) > 0) {
+  while (now() < until && socket_.discard()) {
   }
 }
 
