--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -156,6 +156,17 @@
   return executor.latency > 0 ? executor.work / executor.latency : mean_speed();
 }
 
+// The speed as what still runs there shows it: only what ends teaches, and one that has slowed down ends
+// late.
+double Policy::speed_now(Time now, const Executor& executor) const {
+  constexpr double kWeight = 0.2;  // as for one that has ended
+  const double v = speed(executor);
+  if (executor.running == 0) return v;
+  const double over = executor.running * seconds(now) - executor.running_since - executor.running_cost / v;
+  const double latency = executor.latency > 0 ? executor.latency : 1;
+  return over <= 0 ? v : v * latency / (latency + kWeight * over);
+}
+
 double Policy::cost(const Submission& submission) const {
   return submission.hint > 0 ? submission.hint : work_[submission.use_case];
 }
@@ -294,7 +305,7 @@
   chances_.clear();
   delays_.clear();
   for (const int i : ready_) {
-    const double p = work / speed(executors[i]);
+    const double p = work / speed_now(now, executors[i]);
     delays_.push_back(seconds(delay(executors[i])) + opening(now, submission, executors[i]));
     chances_.push_back(work / (p + delays_.back()));
     sum += chances_.back();
@@ -313,7 +324,7 @@
       if (at < 0) break;
     }
     Executor& executor = executors[ready_[drawn]];
-    const double v = speed(executor);
+    const double v = speed_now(now, executor);
     double queued = executor.open_cost / v;
     if (executor.load.waiting >= 0)
       queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
@@ -470,8 +481,12 @@
   if (launch.began < 0) {
     saw_wait(now, launch);
     --executor.unstarted;
-  } else
+  } else {
     executor.running_width -= submission.width;
+    --executor.running;
+    executor.running_cost = executor.running == 0 ? 0 : executor.running_cost - launch.cost;
+    executor.running_since = executor.running == 0 ? 0 : executor.running_since - seconds(launch.began);
+  }
 }
 
 int Policy::pending_launches(const Submission& submission) const {
@@ -776,6 +791,9 @@
   Executor& executor = executors[launch.executor];
   --executor.unstarted;
   executor.running_width += submission.width;
+  ++executor.running;
+  executor.running_cost += launch.cost;
+  executor.running_since += seconds(now);
   if (executor.kind >= 0) widest_[executor.kind] = std::max(widest_[executor.kind], executor.running_width);
   start_wait_.add(now, kHealthLife, seconds(now - launch.sent));
   starts_.add(now, kHealthLife, 1);
--- a/src/policy.h
+++ b/src/policy.h
@@ -94,7 +94,9 @@
   Time used = 0;                  // when one was last
   int open = 0, unstarted = 0;    // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0;
-  DecayingSum wait;  // seconds that the last launch waited to begin
+  int running = 0;                             // of those that have begun
+  double running_cost = 0, running_since = 0;  // their cost, and the sum of when they began, in seconds
+  DecayingSum wait;                            // seconds that the last launch waited to begin
   Load load;
   Time load_at = 0;
   int unstarted_at_load = 0;
@@ -158,6 +160,7 @@
 
   // The parts of a decision, open to tests and to whoever wants to look.
   double speed(const Executor& executor) const;
+  double speed_now(Time now, const Executor& executor) const;
   void count_speed(const Executor& executor, int sign);  // into the mean, or out of it
   Time delay(const Executor& executor) const;
   double opening(Time now, const Submission& submission, const Executor& executor);
