A launch needs one buffer: its result keeps the one that it came in

Checked by reading beside docs/architecture.md: take_line() waited for a second buffer while its thread held the first. With second copies more launches than buffers can be out (94 submissions of 32 MB, three launches each, 190 buffers), and once each held one nobody gave one back; wait_for_one() was not woken by give_up() either. What follows the last line is read through a small array of the thread's own.

--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -19,10 +19,9 @@
   return out_ < most_ ? next() : Buffer();
 }
 
-Buffer BufferPool::wait_for_one() {
+Buffer BufferPool::wait_for_one(std::chrono::milliseconds limit) {
   std::unique_lock lock(mutex_);
-  given_back_.wait(lock, [this] { return out_ < most_; });
-  return next();
+  return given_back_.wait_for(lock, limit, [this] { return out_ < most_; }) ? next() : Buffer();
 }
 
 Buffer BufferPool::next() {
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -1,6 +1,7 @@
 // Buffers of one size, used again. An idle connection holds none.
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <memory>
@@ -34,8 +35,8 @@
  public:
   explicit BufferPool(std::size_t most) : most_(most) {}
   Buffer take();
-  // Waits for one. Whoever holds one gives it back when its submission's time is over at the latest.
-  Buffer wait_for_one();
+  // Empty where none came back in that time.
+  Buffer wait_for_one(std::chrono::milliseconds limit);
 
  private:
   friend class Buffer;
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -160,8 +160,8 @@
   if (connected && write(ending)) read_answer(ending);
 }
 
-bool ExecutorConnection::read_more(char* data, std::size_t& size, Ending& ending) {
-  const long n = size < Buffer::kSize ? socket_.read(data + size, Buffer::kSize - size) : 0;
+bool ExecutorConnection::read_more(char* data, std::size_t room, std::size_t& size, Ending& ending) {
+  const long n = size < room ? socket_.read(data + size, room - size) : 0;
   if (n > 0)
     size += static_cast<std::size_t>(n);
   else
@@ -170,13 +170,17 @@
 }
 
 void ExecutorConnection::read_answer(Ending& ending) {
-  const Buffer buffer = world_.launches.wait_for_one();
+  // One that is given up meanwhile, at its hard limit at the latest, waits no longer than this.
+  constexpr Milliseconds kLookUp{50};
+  Buffer buffer;
+  while (!buffer && !was_given_up()) buffer = world_.launches.wait_for_one(kLookUp);
+  if (!buffer) return;
   char* const data = buffer.data();
   socket_.limit_reading(Milliseconds(0));
   http::Head head(http::Head::Kind::kAnswer);
   std::size_t size = 0;
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
-    if (!read_more(data, size, ending)) {
+    if (!read_more(data, Buffer::kSize, size, ending)) {
       if (ending.reused && size == 0) ending.outcome = Outcome::kStale;
       return;
     }
@@ -187,47 +191,64 @@
   }
   if (head.status == 200)
     world_.reducer.post([&world = world_, id = work_.id](Time now) { world.node->launch_taken(now, id); });
-  read_body(head, data, size, ending);
+  read_body(head, buffer, size, ending);
   if (ending.told || head.status == 200) return;
   const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
   tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, ending.whole && head.keep_alive,
            waiting_of(head.field("X-Backend-Load")), ending);
 }
 
-// The lines of a 200 are taken as they come; what else stands in a body is read over.
-void ExecutorConnection::read_body(const http::Head& head, char* data, std::size_t size, Ending& ending) {
+// The lines of a 200 are taken as they come; of any other answer the body is read over.
+void ExecutorConnection::read_body(const http::Head& head, Buffer& buffer, std::size_t size, Ending& ending) {
   http::BodyReader reader(head.framing, head.length);
+  char* const data = buffer.data();
   const std::size_t start = head.size();
   std::size_t raw = start, content = start, taken = 0, written = 0;
-  for (;;) {
+  while (head.status == 200) {
     const http::Progress progress = reader.read(data + raw, size - raw, data + content, taken, written);
     if (progress == http::Progress::kBad) {
       ending.reason = Reason::kBadMessage;
-      break;
+      return;
     }
-    raw += taken;
     content += written;
     std::size_t line = start;
-    while (head.status == 200 && !ending.told) {
+    while (!ending.told) {
       const char* const end = static_cast<char*>(std::memchr(data + line, '\n', content - line));
       if (end == nullptr) break;
       const std::size_t length = static_cast<std::size_t>(end - data) - line;
-      if (length > 1) take_line({data + line, length}, head.keep_alive, ending);
+      if (length > 1) take_line({data + line, length}, head.keep_alive, buffer, ending);
       line += length + 1;
     }
-    if (progress == http::Progress::kDone) {
-      ending.whole = true;
-      return;
-    }
-    if (ending.told && !ending.kept) return;
-    if (ending.told || head.status != 200) line = content;
+    ending.whole = progress == http::Progress::kDone;
+    if (ending.whole || (ending.told && !ending.kept)) return;
+    if (ending.told) break;
     std::memmove(data + start, data + line, content - line);
     size = raw = content = start + (content - line);
-    if (ending.told || head.status != 200) socket_.limit_reading(kMostTail);
-    if (!read_more(data, size, ending)) break;
+    if (!read_more(data, Buffer::kSize, size, ending)) return;
   }
+  if (!ending.told &&
+      reader.read(data + raw, size - raw, data + content, taken, written) == http::Progress::kBad)
+    ending.reason = Reason::kBadMessage;
+  else
+    read_tail(reader, ending);
   // The end was told already: the next launch finds the connection gone and opens another.
-  if (ending.told && ending.kept) drop_socket(ending.reason);
+  if (ending.told && ending.kept && !ending.whole) drop_socket(ending.reason);
+}
+
+// What is left of an answer whose end is told, or that says nothing but its status. Its buffer may be the
+// result's by now.
+void ExecutorConnection::read_tail(http::BodyReader& reader, Ending& ending) {
+  char tail[512];
+  socket_.limit_reading(kMostTail);
+  while (!reader.done()) {
+    std::size_t size = 0, taken = 0, written = 0;
+    if (!read_more(tail, sizeof tail, size, ending)) return;
+    if (reader.read(tail, size, tail, taken, written) == http::Progress::kBad) {
+      ending.reason = Reason::kBadMessage;
+      return;
+    }
+  }
+  ending.whole = true;
 }
 
 void ExecutorConnection::drop_socket(Reason reason) {
@@ -238,7 +259,7 @@
 }
 
 // A line that cannot be read is a launch that may have run.
-void ExecutorConnection::take_line(std::string_view line, bool kept, Ending& ending) {
+void ExecutorConnection::take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending) {
   rapidjson::Document object;
   object.Parse<kNotRecursive>(line.data(), line.size());
   const JsonValue& state = member(object, "state");
@@ -255,7 +276,8 @@
   } else if (word == "done" && member(object, "result").IsString()) {
     const std::string_view content = text(member(object, "result"), "result");
     auto result = std::make_shared<Result>();
-    result->buffer = world_.launches.wait_for_one();
+    // The buffer that it came in: one that waited for a second while it held the first might wait for ever.
+    result->buffer = std::move(buffer);
     std::memcpy(result->buffer.data(), content.data(), content.size());
     result->text = {result->buffer.data(), content.size()};
     tell(Outcome::kSatisfied, result);
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -47,9 +47,10 @@
   bool was_given_up();
   bool write(Ending& ending);
   void read_answer(Ending& ending);
-  bool read_more(char* data, std::size_t& size, Ending& ending);
-  void read_body(const http::Head& head, char* data, std::size_t size, Ending& ending);
-  void take_line(std::string_view line, bool kept, Ending& ending);
+  bool read_more(char* data, std::size_t room, std::size_t& size, Ending& ending);
+  void read_body(const http::Head& head, Buffer& buffer, std::size_t size, Ending& ending);
+  void read_tail(http::BodyReader& reader, Ending& ending);
+  void take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending);
   void drop_socket(Reason reason);
   void tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting, Ending& ending);
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,11 +1,14 @@
 // Starts the program and speaks to it over loopback.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <fstream>
+#include <thread>
 
 #include "helpers.h"
 #include "net/buffer_pool.h"
 #include "net/discovery.h"
+#include "net/executor.h"
 
 namespace canvasstage {
 namespace {
@@ -48,7 +51,40 @@
   EXPECT_TRUE(second);
   EXPECT_FALSE(pool.take());
   { const net::Buffer gone = std::move(first); }
-  EXPECT_EQ(pool.wait_for_one().data(), bytes);
+  EXPECT_EQ(pool.wait_for_one(std::chrono::seconds(1)).data(), bytes);
+}
+
+// As many launches as buffers: each would wait for a second one, and nobody would give one back.
+TEST(ProgramParts, ALaunchNeedsNoSecondBufferForItsResult) {
+  Core core(1);
+  core.arrive(1, 0);
+  net::Reducer reducer;
+  net::BufferPool submissions(1), launches(1);
+  const Terms terms;
+  Node* node = &core.node;
+  net::World world{reducer, submissions, launches, terms, node};
+  auto submission = std::make_shared<net::Submitted>();
+  submission->buffer = submissions.take();
+  const std::string job = Running::job("lookup", "id1");
+  std::memcpy(submission->buffer.data(), job.data(), job.size());
+  submission->head.read({submission->buffer.data(), job.size()});
+  Listener executor;
+  net::ExecutorConnection link(world, std::chrono::seconds(1));
+  std::thread thread([&link] { link.run(); });
+  link.launch(core.effects.launches[0].id, executor.address, submission, net::now() + 4 * kSecond);
+  Peer peer = executor.accept();
+  peer.read_message();
+  peer.finish_job(std::string(60000, 'r'));
+  int looks = 0;
+  reducer.wake_at(0, 1);
+  reducer.run([&](Time now, std::uint64_t) {
+    if (!core.effects.answers.empty() || ++looks == 200) reducer.finish();
+    reducer.wake_at(now + kSecond / 100, 1);
+  });
+  link.give_up();
+  ASSERT_EQ(core.effects.answers.size(), 1u);
+  EXPECT_EQ(core.effects.answers[0].second, Answer::kSatisfied);
+  thread.join();
 }
 
 TEST(Discovery, ABadEntryNamesItsField) {
