After its last answer a client that stays is closed within a second again; a value of 0 divides nothing

Found by reading the change once more: with a look every 30 s the thread of a client that stays after its last answer (a rejected id, a node that stops) sat in its read for as long, as only a look tells it; the 30 s now hold between two submissions alone. recv() interrupted by a stop of the process ended the lingering; it goes through Socket::read(). A use case of billing value 0 made the price of a connection infinite.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -103,9 +103,9 @@
 
 void run(const char* path, const sigset_t& signals) {
   const Configuration c = read_configuration(path);
-  // Five eighths of the memory may be buffers, a third of them for submissions: a launch needs one to read
-  // and one for its result. Threads and the rest were measured at a tenth of 192 MB, with every descriptor in
-  // use.
+  // Five eighths of the memory may be buffers, a third of them for submissions: a launch needs one, and a
+  // submission may have several. Threads and the rest were measured at a tenth of 192 MB, with every
+  // descriptor in use.
   const std::size_t buffers =
       static_cast<std::size_t>(c.memory_mb) * 1024 * 1024 / 8 * 5 / net::Buffer::kSize;
   net::BufferPool submissions(buffers / 3), launches(buffers - buffers / 3);
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -11,12 +11,14 @@
 namespace canvasstage::net {
 namespace {
 
-// How often a thread that waits for bytes looks up; the reducer wakes it by ending the reading. How long a
-// client may say nothing after connecting: whoever connects has something to hand in, and a thread each for
-// hundreds that have not is what a part of a core can bear least. How long it may take until its first
-// submission has come whole, counted from connecting, or any later one, counted from its first byte: within
-// 3 s it is owed an error or a close. How long it may take to close after the last answer.
-constexpr Time kLookUp = 30 * kSecond;
+// How often a thread looks up while a submission is open, as its last answer may have been written, and
+// between submissions, where only the reducer ends the reading. How long a client may say nothing after
+// connecting: whoever connects has something to hand in, and a thread each for hundreds that have not is what
+// a part of a core can bear least. How long it may take until its first submission has come whole, counted
+// from connecting, or any later one, counted from its first byte: within 3 s it is owed an error or a close.
+// How long it may take to close after the last answer.
+constexpr Time kLookUp = kSecond;
+constexpr Time kIdleLookUp = 30 * kSecond;
 constexpr Time kMostSilence = kSecond * 3 / 2;
 constexpr Time kMostReading = kSecond * 5 / 2;
 constexpr Time kLinger = kSecond / 4;
@@ -162,7 +164,7 @@
   char first;
   while (carry_.empty()) {
     if (fresh_ && now() >= opened_ + kMostSilence) return reason = Reason::kSilent, false;
-    wait_until(fresh_ ? opened_ + kMostSilence : now() + kLookUp);
+    wait_until(fresh_ ? opened_ + kMostSilence : now() + kIdleLookUp);
     const long n = socket_.read(&first, 1, MSG_PEEK);
     if (n > 0) break;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
@@ -303,12 +305,14 @@
   return false;
 }
 
-// Closing with unread bytes would destroy the answer: ends our side and reads on for a short while.
+// Closing with unread bytes would destroy the answer: ends our side and reads on for a short while. The
+// kernel drops the bytes without copying them: 60 MB of them cost others their part of the core.
 void ClientConnection::linger() {
   socket_.shut(SHUT_WR);
   const Time until = now() + kLinger;
   wait_until(until);
-  while (now() < until && socket_.discard()) {
+  constexpr std::size_t kPart = 1024 * 1024;
+  while (now() < until && socket_.read(nullptr, kPart, MSG_TRUNC) > 0) {
   }
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -90,12 +90,6 @@
   }
 }
 
-// The kernel drops the bytes without copying them: 60 MB of them cost others their part of the core.
-bool Socket::discard() const {
-  constexpr std::size_t kPart = 1024 * 1024;
-  return ::recv(fd_, nullptr, kPart, MSG_TRUNC) > 0;
-}
-
 long Socket::write_some(std::string_view first, std::string_view second) const {
   std::size_t sent = 0;
   while (sent < first.size() + second.size()) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -29,8 +29,6 @@
   void limit_reading(Milliseconds limit) const;  // 0: none
   // Fills what it can: -1 with errno, or 0 at the end of the stream.
   long read(char* into, std::size_t size, int flags = 0) const;
-  // Reads on and throws it away; false: there was nothing.
-  bool discard() const;
   // Whether all went to the kernel.
   bool write(std::string_view first, std::string_view second) const;
   // As much as goes without waiting; -1: the connection is broken.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -263,7 +263,7 @@
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const double mean_value =
       asked_value_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
-  const double falls = use_case.billing_value * std::max(0.1, 1 - use_case.overdue_value);
+  const double falls = std::max(1e-9, use_case.billing_value * std::max(0.1, 1 - use_case.overdue_value));
   return settings_.connection_price * mean_value / falls * mean_leeway(submission);
 }
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -329,6 +329,9 @@
   Peer other = run.client();
   other.write(Running::job("lookup", "id1"));
   EXPECT_TRUE(starts(other.read_to_end(), "HTTP/1.1 400 "));
+  const auto from = std::chrono::steady_clock::now();
+  EXPECT_TRUE(run.wait_for_log("reason=answered_last"));  // though it stays
+  EXPECT_LT(std::chrono::steady_clock::now() - from, std::chrono::seconds(5));
   executor.finish_job("one");
   EXPECT_TRUE(holds(client.read_message(), "one"));
 }
