A connection's price is reckoned once a pick; how many run follows from open and unstarted

The test lets a launch begin instead of counting unstarted down by hand; its assertions are as they were.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -161,8 +161,9 @@
 double Policy::speed_now(Time now, const Executor& executor) const {
   constexpr double kWeight = 0.2;  // as for one that has ended
   const double v = speed(executor);
-  if (executor.running == 0) return v;
-  const double over = executor.running * seconds(now) - executor.running_since - executor.running_cost / v;
+  const int running = executor.open - executor.unstarted;
+  if (running == 0) return v;
+  const double over = running * seconds(now) - executor.running_since - executor.running_cost / v;
   const double latency = executor.latency > 0 ? executor.latency : 1;
   return over <= 0 ? v : v * latency / (latency + kWeight * over);
 }
@@ -258,8 +259,8 @@
 constexpr Time kMostAway = kSecond;
 
 // What a new connection costs, as the delay that lowers the worth of a usual submission of this kind as much.
-double Policy::opening(Time now, const Submission& submission, const Executor& executor) {
-  if (settings_.connection_price <= 0 || connected(now, executor)) return 0;
+double Policy::opening(Time now, const Submission& submission) {
+  if (settings_.connection_price <= 0) return 0;
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const double mean_value =
       asked_value_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
@@ -301,12 +302,13 @@
   if (ready_.empty()) find_ready(now, submission, false, false);
   if (ready_.empty()) return -1;
   const double work = cost(submission);
+  const double price = opening(now, submission);
   double sum = 0;
   chances_.clear();
   delays_.clear();
   for (const int i : ready_) {
     const double p = work / speed_now(now, executors[i]);
-    delays_.push_back(seconds(delay(executors[i])) + opening(now, submission, executors[i]));
+    delays_.push_back(seconds(delay(executors[i])) + (connected(now, executors[i]) ? 0 : price));
     chances_.push_back(work / (p + delays_.back()));
     sum += chances_.back();
   }
@@ -483,9 +485,9 @@
     --executor.unstarted;
   } else {
     executor.running_width -= submission.width;
-    --executor.running;
-    executor.running_cost = executor.running == 0 ? 0 : executor.running_cost - launch.cost;
-    executor.running_since = executor.running == 0 ? 0 : executor.running_since - seconds(launch.began);
+    const bool last = executor.open == executor.unstarted;
+    executor.running_cost = last ? 0 : executor.running_cost - launch.cost;
+    executor.running_since = last ? 0 : executor.running_since - seconds(launch.began);
   }
 }
 
@@ -791,7 +793,6 @@
   Executor& executor = executors[launch.executor];
   --executor.unstarted;
   executor.running_width += submission.width;
-  ++executor.running;
   executor.running_cost += launch.cost;
   executor.running_since += seconds(now);
   if (executor.kind >= 0) widest_[executor.kind] = std::max(widest_[executor.kind], executor.running_width);
--- a/src/policy.h
+++ b/src/policy.h
@@ -94,8 +94,7 @@
   Time used = 0;                  // when one was last
   int open = 0, unstarted = 0;    // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0;
-  int running = 0;                             // of those that have begun
-  double running_cost = 0, running_since = 0;  // their cost, and the sum of when they began, in seconds
+  double running_cost = 0, running_since = 0;  // of those begun: cost, and the sum of when, in seconds
   DecayingSum wait;                            // seconds that the last launch waited to begin
   Load load;
   Time load_at = 0;
@@ -163,7 +162,7 @@
   double speed_now(Time now, const Executor& executor) const;
   void count_speed(const Executor& executor, int sign);  // into the mean, or out of it
   Time delay(const Executor& executor) const;
-  double opening(Time now, const Submission& submission, const Executor& executor);
+  double opening(Time now, const Submission& submission);
   static int choices(const std::vector<double>& chances);
   int pick(Time now, const Submission& submission);
   bool may_launch(Time now, const Submission& submission, int executor);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -555,7 +555,7 @@
   EXPECT_EQ(node.host.launches[0].executor, 1);
   node.policy.executors[1].connections = 2;
   node.policy.executors[1].open_cost = 0.5;
-  --node.policy.executors[1].unstarted;
+  node.policy.launch_started(kNow, 0, 0);
   node.arrive(1, 0);
   EXPECT_EQ(node.host.launches[1].executor, 0);
 }
