--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -312,8 +312,8 @@
   const Time until = now() + kLinger;
   wait_until(until);
   constexpr std::size_t kPart = 1024 * 1024;
-  while (now() < until && socket_.read(nullptr, kPart, MSG_TRUNC) > 0) {
-  }
+  for (long n = 1; now() < until && (n > 0 || (n < 0 && errno == EAGAIN));)
+    n = socket_.read(nullptr, kPart, MSG_TRUNC);
 }
 
 }  // namespace canvasstage::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -90,10 +90,9 @@
     const std::lock_guard lock(mutex_);
     if (given_up_) return Reason::kGivenUp;
     socket_ = new_socket();
-    socket_.limit_sending(kMostConnecting);
     socket_.limit_reading(kMostSilence);
   }
-  if (connect_to(socket_, address_) != 0) return Reason::kUnreachable;
+  if (connect_to(socket_, address_, kMostConnecting) != 0) return Reason::kUnreachable;
   std::string request;
   http::Writer(request)
       .request("GET", "/v1/servers?stream=1&index=" + std::to_string(from_version_))
@@ -103,7 +102,10 @@
   std::string bytes;  // the head, then what has come of a line
   const auto read_more = [&] {
     char part[4096];
-    const long n = socket_.read(part, sizeof part);
+    const Time until = now() + kMostSilence.count() * (kSecond / 1000);
+    long n;
+    do n = socket_.read(part, sizeof part);
+    while (n < 0 && errno == EAGAIN && now() < until);
     if (n > 0) bytes.append(part, static_cast<std::size_t>(n));
     return n > 0             ? Reason::kPeerClosed
            : n == 0          ? Reason::kRefused
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -111,9 +111,8 @@
     if (socket_.open()) log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kPeerClosed);
     socket_ = Socket();
     socket_ = new_socket();
-    socket_.limit_sending(connect_within_);
   }
-  if (connect_to(socket_, work_.address) != 0) {
+  if (connect_to(socket_, work_.address, connect_within_) != 0) {
     ending.outcome = Outcome::kUnreachable;
     ending.reason = Reason::kUnreachable;
     return false;
@@ -161,7 +160,10 @@
 }
 
 bool ExecutorConnection::read_more(char* data, std::size_t room, std::size_t& size, Ending& ending) {
-  const long n = size < room ? socket_.read(data + size, room - size) : 0;
+  long n = 0;
+  if (size < room) do
+      n = socket_.read(data + size, room - size);
+    while (n < 0 && errno == EAGAIN && now() < read_until_);
   if (n > 0)
     size += static_cast<std::size_t>(n);
   else
@@ -177,6 +179,7 @@
   if (!buffer) return;
   char* const data = buffer.data();
   socket_.limit_reading(Milliseconds(0));
+  read_until_ = kNever;
   http::Head head(http::Head::Kind::kAnswer);
   std::size_t size = 0;
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
@@ -240,6 +243,7 @@
 void ExecutorConnection::read_tail(http::BodyReader& reader, Ending& ending) {
   char tail[512];
   socket_.limit_reading(kMostTail);
+  read_until_ = now() + kMostTail.count() * (kSecond / 1000);
   while (!reader.done()) {
     std::size_t size = 0, taken = 0, written = 0;
     if (!read_more(tail, sizeof tail, size, ending)) return;
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -61,7 +61,8 @@
   Socket socket_;
   bool given_up_ = false;
   std::optional<Work> next_;
-  Work work_;  // the thread's own
+  Work work_;  // the thread's own, as what follows
+  Time read_until_ = kNever;
 };
 
 }  // namespace canvasstage::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -21,10 +21,12 @@
   // How long nobody must have come before it closes when it is to: what waits in it is taken first.
   constexpr Milliseconds kQuiet{50};
   listener_.limit_reading(kQuiet);
+  Time came = 0;  // when the last one did
   for (;;) {
     std::string peer;
     if (Socket socket = accept_from(listener_, peer); socket.open()) {
       accept(std::move(socket), std::move(peer));
+      came = now();
       continue;
     }
     if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
@@ -33,7 +35,7 @@
       ::nanosleep(&kPause, nullptr);
       continue;
     }
-    if (closing_ && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    if (closing_ && now() - came >= kQuiet.count() * (kSecond / 1000)) break;
   }
   listener_ = Socket();
   world_.reducer.post([this](Time now) { world_.node->listener_closed(now); });
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -18,6 +18,10 @@
 namespace canvasstage::net {
 namespace {
 
+// A wait that the system cuts short starts anew with its whole limit, so the limits are kept by the clock
+// too.
+using Clock = std::chrono::steady_clock;
+
 bool parse_address(const std::string& address, sockaddr_in& result) {
   const std::size_t colon = address.rfind(':');
   if (colon == std::string::npos) return false;
@@ -53,6 +57,13 @@
   ::setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
 }
 
+std::chrono::microseconds sending_limit(int fd) {
+  timeval value{};
+  socklen_t size = sizeof value;
+  ::getsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &value, &size);
+  return std::chrono::seconds(value.tv_sec) + std::chrono::microseconds(value.tv_usec);
+}
+
 [[noreturn]] void fail(const std::string& what) {
   throw std::runtime_error(what + ": " + std::strerror(errno));
 }
@@ -84,10 +95,9 @@
 }
 
 long Socket::read(char* into, std::size_t size, int flags) const {
-  for (;;) {
-    const ssize_t n = ::recv(fd_, into, size, flags);
-    if (n >= 0 || errno != EINTR) return n;
-  }
+  const ssize_t n = ::recv(fd_, into, size, flags);
+  if (n < 0 && errno == EINTR) errno = EAGAIN;
+  return n;
 }
 
 long Socket::write_some(std::string_view first, std::string_view second) const {
@@ -112,12 +122,14 @@
   const long sent = write_some(first, second);
   if (sent < 0) return false;
   const std::size_t done = static_cast<std::size_t>(sent);
+  Clock::time_point since = Clock::now();  // something was taken last
   for (std::string_view part :
        {first.substr(std::min(done, first.size())), second.substr(done - std::min(done, first.size()))})
     while (!part.empty()) {
       const ssize_t n = ::send(fd_, part.data(), part.size(), MSG_NOSIGNAL);
-      if (n < 0 && errno == EINTR) continue;
+      if (n < 0 && errno == EINTR && Clock::now() - since < sending_limit(fd_)) continue;
       if (n <= 0) return false;
+      since = Clock::now();
       part.remove_prefix(static_cast<std::size_t>(n));
     }
   return true;
@@ -162,10 +174,14 @@
   return socket;
 }
 
-int connect_to(const Socket& socket, const std::string& address) {
+// A second call goes on waiting for what the first began.
+int connect_to(const Socket& socket, const std::string& address, Milliseconds within) {
   const sockaddr_in to = read_address(address);
-  if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return 0;
-  return errno;
+  const Clock::time_point until = Clock::now() + within;
+  socket.limit_sending(within);
+  while (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
+    if (errno != EINTR || Clock::now() >= until) return errno;
+  return 0;
 }
 
 namespace {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -27,7 +27,8 @@
   std::string address() const;  // its own
   void limit_sending(Milliseconds limit) const;
   void limit_reading(Milliseconds limit) const;  // 0: none
-  // Fills what it can: -1 with errno, or 0 at the end of the stream.
+  // Fills what it can: -1 with errno, or 0 at the end of the stream. EAGAIN before the limit: the process was
+  // stopped and goes on, which ends every limited wait; whoever waits looks at the clock.
   long read(char* into, std::size_t size, int flags = 0) const;
   // Whether all went to the kernel.
   bool write(std::string_view first, std::string_view second) const;
@@ -46,8 +47,8 @@
 Socket new_socket();
 // Not open, with errno, where nobody came or the system refuses.
 Socket accept_from(const Socket& listener, std::string& peer);
-// Within the socket's limit for sending; 0 or errno.
-int connect_to(const Socket& socket, const std::string& address);
+// 0 or errno.
+int connect_to(const Socket& socket, const std::string& address, Milliseconds within);
 
 // Runs it on a thread of its own; false: the system has none left.
 bool start_thread(std::function<void()> body);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -169,7 +169,8 @@
   }
   static Peer to(const std::string& address) {
     net::Socket socket = net::new_socket();
-    if (net::connect_to(socket, address) != 0) throw std::runtime_error("cannot connect to " + address);
+    if (net::connect_to(socket, address, std::chrono::seconds(10)) != 0)
+      throw std::runtime_error("cannot connect to " + address);
     return Peer(std::move(socket));
   }
   Peer& write(const std::string& bytes) & {
@@ -194,6 +195,14 @@
     held_.erase(0, at + mark.size());
     return result;
   }
+  // Whether nothing came, and no end, in that time.
+  bool silent_for(std::chrono::milliseconds time) {
+    char byte;
+    socket_.limit_reading(time);
+    const bool silent = socket_.read(&byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+    socket_.limit_reading(std::chrono::seconds(10));
+    return silent;
+  }
   std::string read_to_end() { return read_until("\x01 never sent"); }
   // A message with Content-Length.
   std::string read_message() {
@@ -289,6 +298,13 @@
     rmdir(folder_.c_str());
   }
   void stop(int signal = SIGTERM) { kill(pid_, signal); }
+  // Stops all its threads and lets them go on.
+  void interrupt() {
+    int status;
+    kill(pid_, SIGSTOP);
+    waitpid(pid_, &status, WUNTRACED);
+    kill(pid_, SIGCONT);
+  }
   // Replaces the file and says so.
   void reload(const std::string& content) {
     write_config(content);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,6 +1,7 @@
 // Starts the program and speaks to it over loopback.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <cstring>
 #include <fstream>
 #include <thread>
@@ -320,6 +321,41 @@
   EXPECT_TRUE(holds(kept.read_message(), "two"));
 }
 
+// Whoever gets a part of a core only may be stopped time and again; a wait that this ends began anew with its
+// whole limit, and silent clients stayed until no descriptor was left.
+TEST(Program, ASilentClientIsClosedInTimeByANodeThatIsStoppedAndGoesOn) {
+  Running run;
+  Peer silent = run.client();
+  const auto from = std::chrono::steady_clock::now();
+  const auto took = [from] { return std::chrono::steady_clock::now() - from; };
+  while (silent.silent_for(std::chrono::milliseconds(50)) && took() < std::chrono::seconds(5))
+    run.interrupt();
+  EXPECT_LT(took(), std::chrono::seconds(3));
+}
+
+// To its executor an interrupted attempt to connect looked like one that nobody answers.
+TEST(ProgramParts, AnInterruptedConnectGoesOnUntilItsLimit) {
+  struct sigaction nothing {};
+  nothing.sa_handler = [](int) {};
+  sigaction(SIGUSR1, &nothing, nullptr);
+  const net::Socket listener = net::listen_on("127.0.0.1:0");
+  ::listen(listener.fd(), 0);
+  const Peer first = Peer::to(listener.address());  // the only one that it has room for
+  const net::Socket socket = net::new_socket();
+  std::atomic<bool> ended{false};
+  const auto from = std::chrono::steady_clock::now();
+  std::thread connecting([&] {
+    EXPECT_NE(net::connect_to(socket, listener.address(), std::chrono::milliseconds(300)), 0);
+    ended = true;
+  });
+  while (!ended) {
+    pthread_kill(connecting.native_handle(), SIGUSR1);
+    std::this_thread::yield();
+  }
+  connecting.join();
+  EXPECT_GE(std::chrono::steady_clock::now() - from, std::chrono::milliseconds(300));
+}
+
 TEST(Program, AnIdThatIsOpenIsRejected) {
   Running run;
   Peer watch = only_first(run);
