--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -821,7 +821,8 @@
   // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning:
   // one error must outweigh the successes of its last seconds.
   constexpr double kErrorWeight = 3;
-  constexpr double kSpeedWeight = 0.2;  // the design page's start
+  constexpr double kLittleWeight = 0.5;  // more than one success in two seconds makes up for it
+  constexpr double kSpeedWeight = 0.2;   // the design page's start
   constexpr double kCostWeight =
       0.02;  // costs spread widely; one heavy submission must not move the mean far
   Submission& submission = submissions[index];
@@ -863,11 +864,18 @@
       nobody_there(now, executor);
       [[fallthrough]];
     case Outcome::kErrored:
-    case Outcome::kBroken:
       executor.bad.add(now, kHealthLife, kErrorWeight);
       break;
+    // A process that dies takes all its connections along, and refuses the next. One that breaks while others
+    // stay tells of the way there: on a day of resets nearly all executors were in doubt, and new connections
+    // were opened beside free ones.
+    case Outcome::kBroken: {
+      const bool alone = settings_.streams == 1 && executor.connections > 0;
+      executor.bad.add(now, kHealthLife, alone ? kLittleWeight : kErrorWeight);
+      break;
+    }
     case Outcome::kTurnedAway:
-      executor.bad.add(now, kHealthLife, 0.5);
+      executor.bad.add(now, kHealthLife, kLittleWeight);
       break;
     case Outcome::kTimedOut:
       blame(now, launch);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -241,6 +241,19 @@
   EXPECT_EQ(node.policy.executors[0].bad.value, 0);
 }
 
+// A day of resets brought all executors into doubt; a process that dies takes all its connections along.
+TEST(Health, AConnectionThatBreaksWhileOthersStayBlamesLittle) {
+  Decider node(1);
+  for (int i : {0, 1}) {
+    node.arrive(i, 0);
+    node.policy.launch_started(kNow, i, 0);
+  }
+  node.policy.launch_ended(kNow, 0, 0, Outcome::kBroken, 0, true, nullptr);
+  EXPECT_LT(node.policy.executors[0].bad.value, 1);
+  node.policy.launch_ended(kNow, 1, 0, Outcome::kBroken, 0, true, nullptr);
+  EXPECT_GE(node.policy.executors[0].bad.value, 3);
+}
+
 TEST(Delay, IsTheGapOfShortestFirstWordsAndZeroWhileUnheardOf) {
   Decider node(2);
   for (const int i : {0, 1}) node.arrive(i, 0);
