--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <condition_variable>
@@ -174,14 +175,19 @@
   return socket;
 }
 
-// A second call goes on waiting for what the first began.
+// A further call goes on waiting for what the first began. The last one comes when the time is over: it may
+// have come up while the process was stopped.
 int connect_to(const Socket& socket, const std::string& address, Milliseconds within) {
   const sockaddr_in to = read_address(address);
   const Clock::time_point until = Clock::now() + within;
-  socket.limit_sending(within);
-  while (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
-    if (errno != EINTR || Clock::now() >= until) return errno;
-  return 0;
+  Milliseconds left = within;
+  for (bool last = false;;) {
+    socket.limit_sending(std::max(left, Milliseconds(1)));
+    if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return 0;
+    if (errno != EINTR || last) return errno;
+    left = std::chrono::ceil<Milliseconds>(until - Clock::now());
+    last = left <= Milliseconds(0);
+  }
 }
 
 namespace {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -821,7 +821,7 @@
   // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning:
   // one error must outweigh the successes of its last seconds.
   constexpr double kErrorWeight = 3;
-  constexpr double kLittleWeight = 0.5;  // more than one success in two seconds makes up for it
+  constexpr double kLittleWeight = 0.5;  // one success makes up for two of them
   constexpr double kSpeedWeight = 0.2;   // the design page's start
   constexpr double kCostWeight =
       0.02;  // costs spread widely; one heavy submission must not move the mean far
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,5 +1,6 @@
 // Starts the program and speaks to it over loopback.
 #include <gtest/gtest.h>
+#include <poll.h>
 
 #include <atomic>
 #include <cstring>
@@ -341,6 +342,8 @@
   const net::Socket listener = net::listen_on("127.0.0.1:0");
   ::listen(listener.fd(), 0);
   const Peer first = Peer::to(listener.address());  // the only one that it has room for
+  pollfd come{listener.fd(), POLLIN, 0};
+  ASSERT_EQ(poll(&come, 1, 10000), 1);
   const net::Socket socket = net::new_socket();
   std::atomic<bool> ended{false};
   const auto from = std::chrono::steady_clock::now();
