Reading on until a time is Socket's: one loop for executors and discovery

The same loop over a read that a stop ended early stood in the executor's and the discovery's thread, each with its own reckoning of the time.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -102,10 +102,7 @@
   std::string bytes;  // the head, then what has come of a line
   const auto read_more = [&] {
     char part[4096];
-    const Time until = now() + kMostSilence.count() * (kSecond / 1000);
-    long n;
-    do n = socket_.read(part, sizeof part);
-    while (n < 0 && errno == EAGAIN && now() < until);
+    const long n = socket_.read_until(Clock::now() + kMostSilence, part, sizeof part);
     if (n > 0) bytes.append(part, static_cast<std::size_t>(n));
     return n > 0             ? Reason::kPeerClosed
            : n == 0          ? Reason::kRefused
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -160,10 +160,7 @@
 }
 
 bool ExecutorConnection::read_more(char* data, std::size_t room, std::size_t& size, Ending& ending) {
-  long n = 0;
-  if (size < room) do
-      n = socket_.read(data + size, room - size);
-    while (n < 0 && errno == EAGAIN && now() < read_until_);
+  const long n = size < room ? socket_.read_until(read_until_, data + size, room - size) : 0;
   if (n > 0)
     size += static_cast<std::size_t>(n);
   else
@@ -179,7 +176,7 @@
   if (!buffer) return;
   char* const data = buffer.data();
   socket_.limit_reading(Milliseconds(0));
-  read_until_ = kNever;
+  read_until_ = Clock::time_point::max();
   http::Head head(http::Head::Kind::kAnswer);
   std::size_t size = 0;
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
@@ -243,7 +240,7 @@
 void ExecutorConnection::read_tail(http::BodyReader& reader, Ending& ending) {
   char tail[512];
   socket_.limit_reading(kMostTail);
-  read_until_ = now() + kMostTail.count() * (kSecond / 1000);
+  read_until_ = Clock::now() + kMostTail;
   while (!reader.done()) {
     std::size_t size = 0, taken = 0, written = 0;
     if (!read_more(tail, sizeof tail, size, ending)) return;
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -61,8 +61,8 @@
   Socket socket_;
   bool given_up_ = false;
   std::optional<Work> next_;
-  Work work_;  // the thread's own, as what follows
-  Time read_until_ = kNever;
+  Work work_;                     // the thread's own, as what follows
+  Clock::time_point read_until_;  // of the answer that is being read
 };
 
 }  // namespace canvasstage::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -19,10 +19,6 @@
 namespace canvasstage::net {
 namespace {
 
-// A wait that the system cuts short starts anew with its whole limit, so the limits are kept by the clock
-// too.
-using Clock = std::chrono::steady_clock;
-
 bool parse_address(const std::string& address, sockaddr_in& result) {
   const std::size_t colon = address.rfind(':');
   if (colon == std::string::npos) return false;
@@ -101,6 +97,13 @@
   return n;
 }
 
+long Socket::read_until(Clock::time_point then, char* into, std::size_t size) const {
+  for (;;) {
+    const long n = read(into, size);
+    if (n >= 0 || errno != EAGAIN || Clock::now() >= then) return n;
+  }
+}
+
 long Socket::write_some(std::string_view first, std::string_view second) const {
   std::size_t sent = 0;
   while (sent < first.size() + second.size()) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -13,6 +13,7 @@
 namespace canvasstage::net {
 
 using Milliseconds = std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
 class Socket {
  public:
@@ -30,6 +31,8 @@
   // Fills what it can: -1 with errno, or 0 at the end of the stream. EAGAIN before the limit: the process was
   // stopped and goes on, which ends every limited wait; whoever waits looks at the clock.
   long read(char* into, std::size_t size, int flags = 0) const;
+  // The same, but begins anew until then where the limit came early.
+  long read_until(Clock::time_point then, char* into, std::size_t size) const;
   // Whether all went to the kernel.
   bool write(std::string_view first, std::string_view second) const;
   // As much as goes without waiting; -1: the connection is broken.
