--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "core/figures.h"
 #include "policy.h"
 
 namespace canvasstage {
@@ -37,7 +38,9 @@
   // The watch before it, if any, tells nothing from then on.
   virtual void watch_roster(const std::string& address, std::uint64_t from_version) = 0;
   virtual void wake_at(Time when, std::uint64_t token) = 0;
+  virtual void open_listener() = 0;
   virtual void close_listener() = 0;
+  virtual void publish(const Figures& figures) = 0;
   virtual void finish() = 0;
 };
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -12,10 +12,12 @@
 constexpr std::uint64_t kTickToken = kOwnToken;
 constexpr std::uint64_t kListenerToken = kOwnToken + 1;
 constexpr std::uint64_t kStopToken = kOwnToken + 2;
+constexpr std::uint64_t kOpenToken = kOwnToken + 3;
 
 // Descriptors that are no connection of the node's: standard streams, listener, discovery, the log; and those
 // that a burst takes while the reducer still makes room.
-int usable(int descriptors) {
+int usable(Platform platform) {
+  const int descriptors = platform.descriptors - platform.console;
   constexpr int kOwn = 8;
   constexpr int kBurstPart = 32;
   return std::max(4, descriptors - kOwn - descriptors / kBurstPart);
@@ -33,6 +35,14 @@
 // comes last then still has time for a usual job.
 constexpr Time kListenOn = kSecond * 45 / 100;
 constexpr double kServeOn = 0.625;
+// Where another process may hold the same listening socket this one takes nothing from it before discovery
+// has told the list; discovery may be down, and a new version is to be ready in 6 s.
+constexpr Time kMostListWait = 2 * kSecond;
+
+// The executor closes at its idle time at the latest, and clocks and wires are late.
+Time link_idle(const Settings& settings) {
+  return settings.connection_idle * 3 / 4;
+}
 
 // The module is to count on a connection for as long as the node keeps it, and no longer. An executor answers
 // when it has taken a job, before that begins.
@@ -44,18 +54,23 @@
 
 }  // namespace
 
-Node::Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now,
+Node::Node(Settings settings, Terms terms, Platform platform, std::uint32_t seed, Effects& effects, Time now,
            std::string discovery, std::uint64_t roster_version)
     : terms_(std::move(terms)),
+      platform_(platform),
       effects_(effects),
       now_(now),
-      most_descriptors_(usable(descriptors)),
-      // The executor closes at its idle time at the latest, and clocks and wires are late.
-      link_idle_(settings.connection_idle * 3 / 4),
+      most_descriptors_(usable(platform)),
+      link_idle_(link_idle(settings)),
       discovery_(std::move(discovery)),
       roster_version_(roster_version),
       policy_(on_sockets(std::move(settings), link_idle_), *this, seed, now) {
   effects_.wake_at(now + kTick, kTickToken);
+  if (platform_.shared_listener)
+    effects_.wake_at(now + kMostListWait, kOpenToken);
+  else
+    open_listener();
+  show_use_cases();
 }
 
 // --- Clients ---
@@ -74,6 +89,7 @@
   clients_.erase(found);
   if (submission >= 0) {
     entries_[submission].ended = true;
+    ++figures_.left;
     policy_.client_left(now, submission);
     release_if_over(submission);
   }
@@ -85,8 +101,12 @@
   now_ = now;
   const auto found = clients_.find(client);
   if (found == clients_.end() || found->second.submission >= 0) return;
-  if (found->second.refused) return effects_.answer(client, Answer::kPushedBack, nullptr, 0, true);
+  if (found->second.refused) {
+    turned_away(use_case);
+    return effects_.answer(client, Answer::kPushedBack, nullptr, 0, true);
+  }
   if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, true);
+  ++figures_.taken;
   found->second.served = true;
   int index = static_cast<int>(entries_.size());
   if (unused_.empty()) {
@@ -101,15 +121,29 @@
   entry.id = id;
   entry.parcel = std::move(submission);
   entry.launches.clear();
+  entry.use_case = use_case;
   entry.pending = 0;
   entry.ended = false;
   policy_.submission_arrived(now, index, use_case, std::min(due, stop_by_), hint, width);
 }
 
+void Node::turned_away(int use_case) {
+  ++figures_.taken;
+  count_end(use_case, Answer::kPushedBack);
+}
+
+void Node::count_end(int use_case, Answer answer) {
+  Figures::UseCase& line = figures_.use_cases[lines_[use_case]];
+  ++(answer == Answer::kSatisfied    ? line.satisfied
+     : answer == Answer::kPushedBack ? line.pushed_back
+                                     : line.aborted);
+}
+
 void Node::answer(int submission, Answer answer, const ParcelRef& result, Time stay_away) {
   Entry& entry = entries_[submission];
   if (entry.ended) return;
   entry.ended = true;
+  count_end(entry.use_case, answer);
   Client& client = clients_.at(entry.client);
   client.submission = -1;
   client.idle_since = now_;
@@ -292,7 +326,9 @@
 void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
   now_ = now;
   roster_version_ = version;
+  have_roster_ = true;
   policy_.roster_arrived(now, form);
+  if (form != RosterForm::kRemembered) open_listener();
 }
 
 void Node::roster_refused(Time now) {
@@ -303,10 +339,20 @@
 // The version held counts at the new address too: it is one service for all.
 void Node::discovery_moved(Time now, std::string address) {
   now_ = now;
+  if (discovery_ == address) return;
   discovery_ = std::move(address);
   policy_.roster_moved(now);
 }
 
+void Node::settings_changed(Time now, Settings settings, Terms terms) {
+  now_ = now;
+  terms_ = std::move(terms);
+  link_idle_ = link_idle(settings);
+  show_use_cases();
+  ++figures_.reloads_applied;
+  policy_.settings_changed(now, on_sockets(std::move(settings), link_idle_));
+}
+
 void Node::subscribe() {
   effects_.watch_roster(discovery_, roster_version_);
 }
@@ -326,18 +372,31 @@
     finished_ = true;
     effects_.finish();
   }
+  if (token == kOpenToken) return open_listener();
   if (token == kListenerToken) {
     parting_ = true;
+    closing_idle_ = true;
     effects_.close_listener();
+    if (listener_closed_) close_idle_clients();
   }
 }
 
+void Node::open_listener() {
+  if (listening_ || stop_by_ != kNever) return;
+  listening_ = true;
+  effects_.open_listener();
+}
+
 void Node::listener_closed(Time now) {
   now_ = now;
   listener_closed_ = true;
+  if (closing_idle_) close_idle_clients();
+  finish_if_done();
+}
+
+void Node::close_idle_clients() {
   while (close_longest_idle_client()) {
   }
-  finish_if_done();
 }
 
 void Node::tick(Time now) {
@@ -346,9 +405,37 @@
       link = now - link->since >= link_idle_ || !effects_.still_open(link->launch)
                  ? close_free_link(static_cast<int>(i), link)
                  : std::next(link);
+  if (platform_.console > 0) publish(now);
   effects_.wake_at(now + kTick, kTickToken);
 }
 
+// --- Figures ---
+
+void Node::show_use_cases() {
+  for (std::size_t i = lines_.size(); i < terms_.use_cases.size(); ++i) {
+    const std::string& name = terms_.use_cases[i];
+    std::size_t line = 0;
+    while (line < figures_.use_cases.size() && figures_.use_cases[line].name != name) ++line;
+    if (line == figures_.use_cases.size()) figures_.use_cases.push_back({name});
+    lines_.push_back(line);
+  }
+}
+
+void Node::publish(Time now) {
+  std::uint64_t ended = figures_.left;
+  for (const Figures::UseCase& line : figures_.use_cases)
+    ended += line.satisfied + line.pushed_back + line.aborted;
+  figures_.outstanding = figures_.taken - ended;
+  figures_.listed = figures_.avoided = 0;
+  for (const Executor& executor : policy_.executors) {
+    if (executor.standing == Standing::kGone) continue;
+    ++figures_.listed;
+    if (policy_.avoided(now, executor)) ++figures_.avoided;
+  }
+  figures_.ready = listening_ && have_roster_ && stop_by_ == kNever;
+  effects_.publish(figures_);
+}
+
 void Node::stop(Time now) {
   if (stop_by_ != kNever) return;
   now_ = now;
@@ -357,6 +444,11 @@
   for (std::size_t i = 0; i < entries_.size(); ++i)
     if (!entries_[i].ended) policy_.hurry(now, static_cast<int>(i), stop_by_);
   for (const auto& [id, running] : running_) effects_.wake_at(stop_by_, kLaunchToken | id);
+  if (platform_.shared_listener) {
+    // Whoever connects now is the other process's, and whoever is answered goes there.
+    parting_ = true;
+    effects_.close_listener();
+  }
   effects_.wake_at(now + std::max(kListenOn, static_cast<Time>(kServeOn * static_cast<double>(left))),
                    kListenerToken);
   effects_.wake_at(stop_by_ + kLastAnswers, kStopToken);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -17,10 +17,18 @@
 
 namespace canvasstage {
 
+// What the platform gives one node.
+struct Platform {
+  int descriptors = 0;
+  // The clients' listening socket is held by the platform: another process may take what this one does not.
+  bool shared_listener = false;
+  int console = 0;  // descriptors of the second address, where somebody may look at the figures; 0: none
+};
+
 class Node final : public Host {
  public:
   // `roster_version`: of the remembered list that comes next; 0: there is none.
-  Node(Settings settings, Terms terms, int descriptors, std::uint32_t seed, Effects& effects, Time now,
+  Node(Settings settings, Terms terms, Platform platform, std::uint32_t seed, Effects& effects, Time now,
        std::string discovery, std::uint64_t roster_version = 0);
 
   void client_opened(Time now, Id client);
@@ -31,6 +39,9 @@
   void submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
                           int width, ParcelRef submission);
 
+  // Answered before a word of it was kept, for want of a buffer.
+  void turned_away(int use_case);
+
   void launch_taken(Time now, Id launch);
   void launch_started(Time now, Id launch);
   void launch_progressed(Time now, Id launch, double share_done);
@@ -43,6 +54,9 @@
   void roster_arrived(Time now, RosterForm form, std::uint64_t version);
   void roster_refused(Time now);
   void discovery_moved(Time now, std::string address);
+  // A file read at SIGHUP, renumbered by what holds now; or one that could not be read.
+  void settings_changed(Time now, Settings settings, Terms terms);
+  void reload_rejected() { ++figures_.reloads_rejected; }
 
   void timer_due(Time now, std::uint64_t token);
   // Nothing more can connect.
@@ -68,6 +82,7 @@
     std::string id;
     ParcelRef parcel;
     std::vector<Id> launches;
+    int use_case = 0;
     int pending = 0;
     bool ended = true;
   };
@@ -98,10 +113,16 @@
   bool close_longest_idle_client();
   void make_room(Id newest);
   void launch_timer_due(Time now, Id launch);
+  void count_end(int use_case, Answer answer);
+  void show_use_cases();
+  void publish(Time now);
+  void open_listener();
+  void close_idle_clients();
   void tick(Time now);
   void finish_if_done();
 
   Terms terms_;
+  const Platform platform_;
   Effects& effects_;
   Time now_;  // of the event that is being handled
   int most_descriptors_;
@@ -118,7 +139,10 @@
   std::string discovery_;
   std::uint64_t roster_version_;
   Time stop_by_ = kNever;
-  bool parting_ = false, listener_closed_ = false, finished_ = false;
+  bool listening_ = false, have_roster_ = false;
+  bool parting_ = false, closing_idle_ = false, listener_closed_ = false, finished_ = false;
+  Figures figures_;
+  std::vector<std::size_t> lines_;  // by use case: its line among the figures
   Policy policy_;
 };
 
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -21,11 +21,30 @@
   for (const JsonValue& name : list.GetArray()) names.emplace_back(text(name, key));
 }
 
+double positive(const JsonValue& object, const char* key) {
+  const double value = number(needed(object, key), key);
+  if (!(value > 0)) bad(std::string(key) + ": a positive number is needed");
+  return value;
+}
+
+// Without aliases: `before` is to hold this one as it stands, or it is another one.
+bool same_use_case(const UseCase& before, UseCase now) {
+  now.learned_from = before.learned_from;
+  return before == now;
+}
+
+int index_or_added(std::vector<std::string>& names, const std::string& name) {
+  const int index = index_of(names, name);
+  if (index >= 0) return index;
+  names.push_back(name);
+  return static_cast<int>(names.size()) - 1;
+}
+
 UseCase decode_use_case(const JsonValue& from, const JsonValue& domain, rapidjson::SizeType i) {
   const JsonValue& stretch = member(domain, "classStretch");
   const JsonValue& kind = member(domain, "classKind");
   UseCase u;
-  u.agreed_time = to_time(number(needed(from, "agreedTime"), "agreedTime"));
+  u.agreed_time = to_time(positive(from, "agreedTime"));
   u.stretch = setting(from, "aimStretch", 0);
   if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
   if (kind.IsArray() && i < kind.Size())
@@ -107,8 +126,11 @@
   const JsonValue& cases = needed(settings, "useCases");
   if (!cases.IsArray() || cases.Empty()) bad("useCases: a list is needed");
   for (rapidjson::SizeType i = 0; i < cases.Size(); ++i) {
-    terms.use_cases.emplace_back(text(needed(cases[i], "name"), "useCases.name"));
-    terms.longest_hard_limit = std::max(terms.longest_hard_limit, to_time(setting(cases[i], "hardLimit", 0)));
+    const std::string_view name = text(needed(cases[i], "name"), "useCases.name");
+    if (index_of(terms.use_cases, name) >= 0) bad("useCases.name: twice " + std::string(name));
+    terms.use_cases.emplace_back(name);
+    terms.offered.push_back(true);
+    terms.longest_hard_limit = std::max(terms.longest_hard_limit, to_time(positive(cases[i], "hardLimit")));
     s.use_cases.push_back(decode_use_case(cases[i], domain, i));
     terms.referenced.push_back(s.use_cases.back().effect == Effect::kReferenced);
   }
@@ -119,7 +141,8 @@
   const JsonValue& mode = member(settings, "membershipMode");
   s.ask_for_roster = mode.IsString() && text(mode, "membershipMode") == "ask";
   const JsonValue& caps = needed(settings, "caps");
-  s.most_launches = static_cast<int>(setting(caps, "mostLaunches", 1));
+  s.most_launches = static_cast<int>(std::min(positive(caps, "mostLaunches"), 1e6));
+  if (s.most_launches < 1) bad("mostLaunches: at least 1 is needed");
   s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
   s.connection_idle = to_time(setting(caps, "connIdle", 0));
   terms.connect_within = to_time(setting(caps, "connectTimeout", 1));
@@ -139,4 +162,50 @@
   return s;
 }
 
+int Terms::use_case_named(std::string_view name) const {
+  for (std::size_t i = 0; i < use_cases.size(); ++i)
+    if (offered[i] && use_cases[i] == name) return static_cast<int>(i);
+  return -1;
+}
+
+void continue_numbers(const Terms& terms_before, const Settings& before, Terms& terms, Settings& settings) {
+  // A use case costs each process about a hundred bytes for good: far more than anybody renames by hand.
+  constexpr std::size_t kMostUseCases = 4096;
+  Terms all = terms;
+  all.zones = terms_before.zones;
+  all.machine_kinds = terms_before.machine_kinds;
+  all.use_cases = terms_before.use_cases;
+  all.referenced = terms_before.referenced;
+  all.offered.assign(all.use_cases.size(), false);
+  for (const std::string& zone : terms.zones) index_or_added(all.zones, zone);
+  if (settings.zone >= 0 && settings.zone < static_cast<int>(terms.zones.size()))
+    settings.zone = index_of(all.zones, terms.zones[settings.zone]);
+  std::vector<int> kinds;
+  for (const std::string& kind : terms.machine_kinds)
+    kinds.push_back(index_or_added(all.machine_kinds, kind));
+  std::vector<UseCase> cases = before.use_cases;
+  for (std::size_t i = 0; i < terms.use_cases.size(); ++i) {
+    UseCase now = settings.use_cases[i];
+    if (now.machine_kind >= 0 && now.machine_kind < static_cast<int>(kinds.size()))
+      now.machine_kind = kinds[now.machine_kind];
+    std::size_t at = cases.size();
+    for (std::size_t j = 0; j < before.use_cases.size(); ++j) {
+      if (terms_before.use_cases[j] != terms.use_cases[i]) continue;
+      now.learned_from = static_cast<int>(j);
+      if (same_use_case(cases[j], now)) at = j;
+    }
+    if (at < cases.size()) {
+      all.offered[at] = true;
+      continue;
+    }
+    cases.push_back(now);
+    all.use_cases.push_back(terms.use_cases[i]);
+    all.referenced.push_back(terms.referenced[i]);
+    all.offered.push_back(true);
+  }
+  if (cases.size() > kMostUseCases) bad("useCases: too many different ones since the start");
+  settings.use_cases = std::move(cases);
+  terms = std::move(all);
+}
+
 }  // namespace canvasstage
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -4,6 +4,8 @@
 #include <rapidjson/document.h>
 
 #include <cstdint>
+#include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -37,12 +39,36 @@
 struct Terms {
   std::vector<std::string> zones, machine_kinds, use_cases, report_fields;
   std::vector<bool> referenced;  // by use case: a submission without its reference is no submission
+  std::vector<bool> offered;     // by use case: false for those that later settings no longer hold
   Time longest_hard_limit = 0;
   Time connect_within = kSecond;
   Time drain_grace = kSecond;
   bool operator==(const Terms&) const = default;
+  // The use case that new submissions of that name come under; -1: none.
+  int use_case_named(std::string_view name) const;
 };
 
 Settings decode_settings(const JsonValue& settings, Terms& terms);
+// Renumbers settings that were just decoded, so that each index goes on meaning what it meant before: one use
+// case that changed, or came back changed, gets an index of its own. Throws BadInput where these run out.
+void continue_numbers(const Terms& terms_before, const Settings& before, Terms& terms, Settings& settings);
+
+// The terms that hold now: read by any thread, replaced by the reducer.
+class TermsInForce {
+ public:
+  explicit TermsInForce(Terms terms) : terms_(std::make_shared<const Terms>(std::move(terms))) {}
+  std::shared_ptr<const Terms> read() const {
+    const std::lock_guard lock(mutex_);
+    return terms_;
+  }
+  void replace(std::shared_ptr<const Terms> terms) {
+    const std::lock_guard lock(mutex_);
+    terms_.swap(terms);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::shared_ptr<const Terms> terms_;
+};
 
 }  // namespace canvasstage
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,13 +3,13 @@
 #include <signal.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
 #include <string>
 
+#include "app/configuration.h"
 #include "core/node.h"
+#include "net/console.h"
 #include "net/log.h"
 #include "net/server.h"
 
@@ -19,88 +19,29 @@
 
 constexpr const char* kUsage =
     "usage: canvasstage [--help | --version]\n"
-    "One node. NODE_CONFIG names its configuration; NODE_LISTEN and NODE_DISCOVERY, where set, go before "
-    "it at the start. SIGHUP reads it again.\n";
-
-// What the file says; the environment is not in it.
-struct Configuration {
-  std::string name, listen, discovery;
-  std::uint32_t seed = 0;
-  int memory_mb = 0, sockets = 0;
-  Terms terms;
-  Settings settings;
-  rapidjson::Document file;
-  std::uint64_t roster_version = 0;  // of the remembered list; 0: there is none
-};
-
-std::string words(const JsonValue& file, const char* key) {
-  return std::string(text(needed(file, key), key));
-}
-
-std::uint32_t read_seed(const JsonValue& file) {
-  const std::string seed = words(file, "seed");
-  char* end = nullptr;
-  const std::uint64_t value = std::strtoull(seed.c_str(), &end, 16);
-  if (seed.empty() || *end != '\0') bad("seed: a hexadecimal number is needed");
-  return static_cast<std::uint32_t>(value);
-}
-
-int limit(const JsonValue& file, const char* key) {
-  const double value = number(needed(needed(file, "limits"), key), key);
-  if (!(value >= 1 && value <= 1e7)) bad(std::string("limits.") + key + ": out of range");
-  return static_cast<int>(value);
-}
-
-std::string address(const std::string& text, const char* key) {
-  if (!net::is_address(text)) bad(std::string(key) + ": not an address and a port: " + text);
-  return text;
-}
-
-// All that can be wrong with the file is found here, at the start and at a reload.
-Configuration read_configuration(const char* path) {
-  std::ifstream in(path);
-  if (!in) bad(std::string("NODE_CONFIG: cannot read ") + path);
-  std::stringstream content;
-  content << in.rdbuf();
-  Configuration c;
-  c.file.Parse<rapidjson::kParseFullPrecisionFlag | net::kNotRecursive>(content.str().c_str());
-  if (c.file.HasParseError() || !c.file.IsObject()) bad("NODE_CONFIG: not a JSON object");
-  c.name = words(c.file, "name");
-  c.listen = address(words(c.file, "listen"), "listen");
-  c.discovery = address(words(c.file, "discovery"), "discovery");
-  c.seed = read_seed(c.file);
-  c.memory_mb = limit(c.file, "memory_mb");
-  c.sockets = limit(c.file, "sockets");
-  c.settings = decode_settings(needed(c.file, "settings"), c.terms);
-  const JsonValue& known = member(c.file, "known");
-  if (!known.IsNull()) c.roster_version = net::check_list(known);
-  return c;
-}
-
-std::string from_environment(const char* variable, const std::string& otherwise) {
-  const char* const value = std::getenv(variable);
-  return value != nullptr ? address(value, variable) : otherwise;
-}
-
-// SIGHUP: discovery may have moved, and the file says where to, whatever the environment said at the start.
-// The rest waits for the next start.
-void reload(const char* path, const Configuration& first, net::Reducer& reducer, Node& node) {
+    "One node. NODE_CONFIG names its configuration; NODE_LISTEN, NODE_DISCOVERY and NODE_CONSOLE, where set, "
+    "go before it at the start. NODE_INHERITED_FD names a listening socket to take clients from. SIGHUP "
+    "reads "
+    "the file again.\n";
+
+// The clients' listening socket: one that the platform holds and every process of this node inherits, or one
+// of its own.
+net::Socket client_listener(const Configuration& c, bool& shared) {
+  const char* const inherited = std::getenv("NODE_INHERITED_FD");
+  shared = inherited != nullptr;
+  if (!shared) return net::listen_on(from_environment("NODE_LISTEN", c.listen));
   try {
-    const Configuration now_read = read_configuration(path);
-    const auto keep = [](bool same, const char* field) {
-      if (!same) net::log_note(std::string("reload: ") + field + " stays as it was until the next start");
-    };
-    keep(now_read.name == first.name, "name");
-    keep(now_read.listen == first.listen, "listen");
-    keep(now_read.memory_mb == first.memory_mb && now_read.sockets == first.sockets, "limits");
-    keep(now_read.settings == first.settings && now_read.terms == first.terms, "settings");
-    net::log_note("reload: discovery is " + now_read.discovery);
-    reducer.post([&node, discovery = now_read.discovery](Time now) { node.discovery_moved(now, discovery); });
-  } catch (const std::exception& failure) {
-    net::log_note(std::string("reload: nothing changes: ") + failure.what());
+    return net::inherited_listener(inherited);
+  } catch (const std::runtime_error& failure) {
+    bad(std::string("NODE_INHERITED_FD: ") + failure.what());
   }
 }
 
+net::Socket console_listener(const Configuration& c) {
+  const std::string address = from_environment("NODE_CONSOLE", c.console);
+  return address.empty() ? net::Socket() : net::listen_on(address);
+}
+
 void run(const char* path, const sigset_t& signals) {
   const Configuration c = read_configuration(path);
   // Five eighths of the memory may be buffers, a third of them for submissions: a launch needs one, and a
@@ -112,23 +53,42 @@
   net::Reducer reducer;  // what is left in its queue goes before the pools
   std::unique_ptr<Node> node;
   Node* seen = nullptr;
-  net::World world{reducer, submissions, launches, c.terms, seen};
+  TermsInForce terms(c.terms);
+  Board board;
+  net::World world{reducer, submissions, launches, terms, board, seen};
   const std::string discovery = from_environment("NODE_DISCOVERY", c.discovery);
-  net::Socket listener = net::listen_on(from_environment("NODE_LISTEN", c.listen));
+  bool shared = false;
+  net::Socket listener = client_listener(c, shared);
+  std::unique_ptr<net::Console> console;
+  if (net::Socket second = console_listener(c); second.open())
+    console = std::make_unique<net::Console>(std::move(second), board);
   net::start_log(c.name);
-  net::Server server(world, std::move(listener));
+  if (console) net::log_note("console on " + console->address());
+  net::Server server(world, std::move(listener), shared);
   const Time start = net::now();
-  node = std::make_unique<Node>(c.settings, c.terms, c.sockets, c.seed, server, start, discovery,
+  const Platform platform{c.sockets, shared, console ? net::Console::kRoom + 1 : 0};
+  node = std::make_unique<Node>(c.settings, c.terms, platform, c.seed, server, start, discovery,
                                 c.roster_version);
   seen = node.get();
   const JsonValue& known = member(c.file, "known");
   if (!known.IsNull()) net::take_list(*node, start, known, true);
   server.start();
+  if (console) net::start_thread([&console] { console->run(); });
+  Reloader reloader(path, c);
+  const auto apply = [&](Settings settings, Terms now_terms, std::string address) {
+    reducer.post([&, settings = std::move(settings), now_terms = std::move(now_terms),
+                  address = std::move(address)](Time now) {
+      node->settings_changed(now, settings, now_terms);
+      terms.replace(std::make_shared<const Terms>(now_terms));
+      node->discovery_moved(now, address);
+    });
+  };
   net::start_thread([&] {
     const timespec look_up{0, 200000000};
     while (!reducer.finished()) {
       const int signal = sigtimedwait(&signals, nullptr, &look_up);
-      if (signal == SIGHUP) reload(path, c, reducer, *node);
+      if (signal == SIGHUP && !reloader.reload(apply))
+        reducer.post([&node](Time) { node->reload_rejected(); });
       if (signal != SIGTERM && signal != SIGINT) continue;
       net::log_note("told to stop");
       reducer.post([&node](Time now) { node->stop(now); });
@@ -136,6 +96,7 @@
   });
   reducer.run([&node](Time now, std::uint64_t token) { node->timer_due(now, token); });
   server.end_threads();
+  if (console) console->stop();
   // Longer than any thread looks away; one that is stuck all the same ends with the process.
   const bool ended = net::threads_end_within(net::Milliseconds(1500));
   net::stop_log();
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -174,7 +174,10 @@
   }
   auto submission = std::make_shared<Submitted>();
   submission->buffer = world_.submissions.take();
-  if (!submission->buffer) return reject(503, Reason::kNoRoom, reason);
+  if (!submission->buffer) {
+    tell_turned_away();
+    return reject(503, Reason::kNoRoom, reason);
+  }
   const std::size_t carried = carry_.size();
   std::memcpy(submission->buffer.data(), carry_.data(), carried);
   carry_.clear();
@@ -253,12 +256,13 @@
   }
   if (head.method != "POST") return reject(405, Reason::kBadMessage, reason);
   const std::string_view first = path.substr(1, std::min(path.find('/', 1), path.size()) - 1);
-  const int use_case = index_of(world_.terms.use_cases, first);
+  const std::shared_ptr<const Terms> terms = world_.terms.read();
+  const int use_case = terms->use_case_named(first);
   if (use_case < 0) return reject(404, Reason::kBadMessage, reason);
   Time left = 0;
   if (head.field("X-Correlation-Id").empty() || !read_time_left(head.field("X-Time-Left"), left))
     return reject(400, Reason::kBadMessage, reason);
-  if (world_.terms.referenced[static_cast<std::size_t>(use_case)] && head.field("Idempotency-Key").empty())
+  if (terms->referenced[static_cast<std::size_t>(use_case)] && head.field("Idempotency-Key").empty())
     return reject(400, Reason::kBadMessage, reason);
   const int width = std::max(1, static_cast<int>(std::min(fact(head.field("X-Facts"), "slots", 1), 1e6)));
   {
@@ -296,6 +300,22 @@
   }
 }
 
+// Nothing was read for want of a buffer: the first bytes tell of which use case it was.
+void ClientConnection::tell_turned_away() {
+  char bytes[128];
+  std::string_view start = carry_;
+  if (carry_.empty()) {
+    const long n = socket_.read(bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+    start = {bytes, static_cast<std::size_t>(std::max(n, 0L))};
+  }
+  constexpr std::string_view kMethod = "POST /";
+  if (start.substr(0, kMethod.size()) != kMethod) return;
+  start.remove_prefix(kMethod.size());
+  const int use_case = world_.terms.read()->use_case_named(start.substr(0, start.find_first_of("/? ")));
+  if (use_case < 0) return;
+  world_.reducer.post([&world = world_, use_case](Time) { world.node->turned_away(use_case); });
+}
+
 bool ClientConnection::reject(int status, Reason why, Reason& reason) {
   std::string out;
   http::Writer(out).answer(status).field("Connection", "close").body("");
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -58,6 +58,7 @@
   bool hand_in(std::shared_ptr<Submitted> submission, Reason& reason);
   bool await_answer(Reason& reason);
   bool reject(int status, Reason why, Reason& reason);
+  void tell_turned_away();
   void linger();
   void answered(bool last);
 
--- /dev/null
+++ b/src/net/console.h
@@ -0,0 +1,48 @@
+// The second address: whether the node serves, and its figures. One thread for all callers, who have a room
+// of their own; it reads what the reducer published and waits for nothing else.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/figures.h"
+#include "net/socket.h"
+
+namespace canvasstage::net {
+
+// What one call is answered; `bytes`: all of it that came so far. Empty: more has to come.
+std::string console_answer(const std::string& bytes, const Board& board);
+// The figures as Prometheus reads them.
+std::string written_out(const Figures& figures, std::uint64_t forwards);
+
+class Console {
+ public:
+  // Callers at once; with the listener, what it takes of the node's descriptors.
+  static constexpr int kRoom = 16;
+  Console(Socket listener, const Board& board) : listener_(std::move(listener)), board_(board) {}
+  std::string address() const { return listener_.address(); }
+  void run();  // the thread's
+  void stop() { stopped_ = true; }
+
+ private:
+  struct Caller {
+    Socket socket;
+    Clock::time_point until;
+    std::string in, out;
+    std::size_t sent = 0;
+    bool said_all() const { return !out.empty() && sent == out.size(); }
+  };
+  void accept_one();
+  // Whether it stays.
+  bool go_on(Caller& caller);
+  bool read_from(Caller& caller);
+
+  Socket listener_;
+  const Board& board_;
+  std::vector<Caller> callers_;  // in order of arrival
+  std::atomic<bool> stopped_{false};
+};
+
+}  // namespace canvasstage::net
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -140,7 +140,10 @@
       return false;
     }
   }
-  if (socket_.write(out, work_.submission->body)) return true;
+  if (socket_.write(out, work_.submission->body)) {
+    world_.board.count_forward();
+    return true;
+  }
   ending.outcome = ending.reused ? Outcome::kUnsent : Outcome::kUnreachable;
   ending.reason = Reason::kSendFailed;
   return false;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -7,7 +7,8 @@
 
 namespace canvasstage::net {
 
-Server::Server(World& world, Socket listener) : world_(world), listener_(std::move(listener)) {}
+Server::Server(World& world, Socket listener, bool shared)
+    : world_(world), listener_(std::move(listener)), shared_listener_(shared) {}
 
 void Server::start() {
   log_note("listening on " + listener_.address());
@@ -20,9 +21,19 @@
 void Server::listen() {
   // How long nobody must have come before it closes when it is to: what waits in it is taken first.
   constexpr Milliseconds kQuiet{50};
+  {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return opened_ || closing_; });
+  }
+  // Its options are another process's too, which sets the same.
   listener_.limit_reading(kQuiet);
   Time came = 0;  // when the last one did
   for (;;) {
+    if (shared_listener_) {
+      // What waits there once this one closes is the other's; and what was seen may be gone by now.
+      if (closing_) break;
+      if (!listener_.readable_within(kQuiet)) continue;
+    }
     std::string peer;
     if (Socket socket = accept_from(listener_, peer); socket.open()) {
       accept(std::move(socket), std::move(peer));
@@ -41,6 +52,18 @@
   world_.reducer.post([this](Time now) { world_.node->listener_closed(now); });
 }
 
+void Server::open_listener() {
+  const std::lock_guard lock(mutex_);
+  opened_ = true;
+  changed_.notify_all();
+}
+
+void Server::close_listener() {
+  const std::lock_guard lock(mutex_);
+  closing_ = true;
+  changed_.notify_all();
+}
+
 void Server::accept(Socket socket, std::string peer) {
   const Id id = ++last_client_;
   auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
@@ -88,7 +111,8 @@
     link = std::move(found->second);
     links_.erase(found);
   } else {
-    const Time within = std::min(world_.terms.connect_within, world_.terms.drain_grace / 2);
+    const std::shared_ptr<const Terms> terms = world_.terms.read();
+    const Time within = std::min(terms->connect_within, terms->drain_grace / 2);
     link = std::make_shared<ExecutorConnection>(world_, Milliseconds(within / (kSecond / 1000)));
     const bool started = start_thread([this, link] {
       link->run();
@@ -124,7 +148,7 @@
 }
 
 void Server::end_threads() {
-  closing_ = true;
+  close_listener();
   writers_.stop();
   if (watch_) watch_->give_up();
   for (const auto& [id, client] : clients_) client->shut();
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <unordered_map>
 
@@ -16,7 +18,8 @@
 
 class Server final : public Effects {
  public:
-  Server(World& world, Socket listener);
+  // `shared`: another process may hold the same listening socket.
+  Server(World& world, Socket listener, bool shared);
   void start();
   // After the reducer has finished: ends every thread.
   void end_threads();
@@ -29,7 +32,9 @@
   bool still_open(Id launch) override;
   void watch_roster(const std::string& address, std::uint64_t from_version) override;
   void wake_at(Time when, std::uint64_t token) override { world_.reducer.wake_at(when, token); }
-  void close_listener() override { closing_ = true; }
+  void open_listener() override;
+  void close_listener() override;
+  void publish(const Figures& figures) override { world_.board.publish(figures); }
   void finish() override { world_.reducer.finish(); }
 
  private:
@@ -38,6 +43,10 @@
 
   World& world_;
   Socket listener_;  // the listener thread's
+  const bool shared_listener_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool opened_ = false;
   std::atomic<bool> closing_{false};
   Writers writers_;
   std::unordered_map<Id, std::shared_ptr<ClientConnection>> clients_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,8 +1,10 @@
 #include "net/socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -104,6 +106,11 @@
   }
 }
 
+bool Socket::readable_within(Milliseconds limit) const {
+  pollfd one{fd_, POLLIN, 0};
+  return ::poll(&one, 1, static_cast<int>(limit.count())) > 0;
+}
+
 long Socket::write_some(std::string_view first, std::string_view second) const {
   std::size_t sent = 0;
   while (sent < first.size() + second.size()) {
@@ -178,6 +185,20 @@
   return socket;
 }
 
+Socket inherited_listener(const std::string& number) {
+  int fd = -1;
+  const char* const end = number.data() + number.size();
+  const auto [stopped, error] = std::from_chars(number.data(), end, fd);
+  if (error != std::errc() || stopped != end || fd < 0)
+    throw std::runtime_error("not a descriptor's number: " + number);
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0)
+    throw std::runtime_error("descriptor " + number + " is no listening socket");
+  ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+  return Socket(fd);
+}
+
 // A further call goes on waiting for what the first began. The last one comes when the time is over: it may
 // have come up while the process was stopped.
 int connect_to(const Socket& socket, const std::string& address, Milliseconds within) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -33,6 +33,8 @@
   long read(char* into, std::size_t size, int flags = 0) const;
   // The same, but begins anew until then where the limit came early.
   long read_until(Clock::time_point then, char* into, std::size_t size) const;
+  // Whether there is something to read, or somebody to accept.
+  bool readable_within(Milliseconds limit) const;
   // Whether all went to the kernel.
   bool write(std::string_view first, std::string_view second) const;
   // As much as goes without waiting; -1: the connection is broken.
@@ -47,6 +49,8 @@
 // Listening, making and connecting throw std::runtime_error where the address cannot be read or the system
 // refuses.
 Socket listen_on(const std::string& address);
+// A listening socket that was left open for this process under a number. Throws where that is none.
+Socket inherited_listener(const std::string& number);
 Socket new_socket();
 // Not open, with errno, where nobody came or the system refuses.
 Socket accept_from(const Socket& listener, std::string& peer);
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -15,7 +15,8 @@
   Reducer& reducer;
   BufferPool& submissions;  // buffers for these, and for launches: the one cannot starve the other
   BufferPool& launches;
-  const Terms& terms;
+  const TermsInForce& terms;
+  Board& board;
   Node*& node;  // for the events that the reducer runs, and for nobody else
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -430,15 +430,27 @@
   executor.away_until = now + executor.away;
 }
 
+constexpr double kNoDoubt = 0.3;      // so little that went wrong is forgotten
+constexpr double kSoundChance = 0.6;  // of success
+
 // Drawn from the posterior of its chance of success: a doubtful executor is never quite forgotten.
 bool Policy::doubted(Time now, Executor& executor) {
-  if (executor.bad.value < 0.3) return false;
+  if (executor.bad.value < kNoDoubt) return false;
   const double bad = executor.bad.read(now, kHealthLife);
-  if (bad < 0.3) return false;
+  if (bad < kNoDoubt) return false;
   const double good = executor.good.read(now, kHealthLife);
   std::gamma_distribution<double> wins(1 + good), losses(1 + bad);
   const double win = wins(random_);
-  return win / (win + losses(random_)) < 0.6;
+  return win / (win + losses(random_)) < kSoundChance;
+}
+
+// What an onlooker is told: nobody was there, or the mean of that posterior is below what a draw has to
+// reach.
+bool Policy::avoided(Time now, const Executor& executor) const {
+  if (now < executor.away_until) return true;
+  DecayingSum good = executor.good, bad = executor.bad;
+  const double wins = 1 + good.read(now, kHealthLife), losses = 1 + bad.read(now, kHealthLife);
+  return losses >= 1 + kNoDoubt && wins < kSoundChance * (wins + losses);
 }
 
 // --- Launches ---
@@ -927,6 +939,20 @@
   wake(std::max(now, due - 2 * settings_.quantum), index);
 }
 
+// Those above a lower number of launches launch no more; with nothing out they are over at once.
+void Policy::settings_changed(Time now, Settings settings) {
+  settings_ = std::move(settings);
+  for (std::size_t i = work_.size(); i < settings_.use_cases.size(); ++i) {
+    const int from = settings_.use_cases[i].learned_from;
+    work_.push_back(from >= 0 ? work_[from] : 1.0);
+    work_weight_.push_back(from >= 0 ? work_weight_[from] : 0.0);
+  }
+  for (std::size_t i = 0; i < submissions.size(); ++i)
+    if (submissions[i].open && pending_launches(submissions[i]) == 0 &&
+        static_cast<int>(submissions[i].launches.size()) >= settings_.most_launches)
+      end(now, static_cast<int>(i), true);
+}
+
 void Policy::timer_due(Time now, std::uint64_t token) {
   if (token == kTickToken) return tick(now);
   const std::uint64_t index = token & ((1u << kIndexBits) - 1);
--- a/src/policy.h
+++ b/src/policy.h
@@ -41,6 +41,7 @@
   Group group = Group::kAll;
   Time window = 0;
   int machine_kind = -1;  // the one kind that runs it; -1: any
+  int learned_from = -1;  // the use case whose learned work it starts with; -1: none
   bool operator==(const UseCase&) const = default;
 };
 
@@ -155,6 +156,8 @@
   void connection_closed(int executor);  // one that no launch was using
   void client_left(Time now, int submission);
   void hurry(Time now, int submission, Time due);  // its hard limit comes earlier: the node is to stop
+  // Use cases keep their indices; further ones come behind them.
+  void settings_changed(Time now, Settings settings);
   void timer_due(Time now, std::uint64_t token);
 
   // The parts of a decision, open to tests and to whoever wants to look.
@@ -167,6 +170,7 @@
   int pick(Time now, const Submission& submission);
   bool may_launch(Time now, const Submission& submission, int executor);
   bool may_push_back(const Submission& submission) const;
+  bool avoided(Time now, const Executor& executor) const;
   double cold_budget(Time now, const Executor& executor) const;
   double cost(const Submission& submission) const;
   Time keep_until(Time now, const Submission& submission);
