--- a/src/app/configuration.cpp
+++ b/src/app/configuration.cpp
@@ -68,15 +68,11 @@
   return value != nullptr ? address(value, variable) : otherwise;
 }
 
-Reloader::Reloader(std::string path, const Configuration& first)
-    : path_(std::move(path)), first_(first), settings_(first.settings), terms_(first.terms) {}
-
 // The file says where discovery is, whatever the environment said at the start. What only a start can change
 // is named and waits for one.
 bool Reloader::reload(const Apply& apply) {
   try {
     Configuration now = read_configuration(path_);
-    continue_numbers(terms_, settings_, now.terms, now.settings);
     const auto keep = [](bool same, const char* field) {
       if (!same) net::log_note(std::string("reload: ") + field + " stays as it was until the next start");
     };
@@ -84,10 +80,7 @@
     keep(now.listen == first_.listen, "listen");
     keep(now.console == first_.console, "console");
     keep(now.memory_mb == first_.memory_mb && now.sockets == first_.sockets, "limits");
-    const bool same = now.settings == settings_ && now.terms == terms_;
-    settings_ = now.settings;
-    terms_ = now.terms;
-    net::log_note("reload: applied, discovery is " + now.discovery + (same ? "" : ", settings changed"));
+    net::log_note("reload: discovery is " + now.discovery);
     apply(std::move(now.settings), std::move(now.terms), std::move(now.discovery));
     return true;
   } catch (const std::exception& failure) {
--- a/src/app/configuration.h
+++ b/src/app/configuration.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "core/settings.h"
 
@@ -31,15 +32,13 @@
  public:
   // Called with what is to hold from now on; never with a part of it.
   using Apply = std::function<void(Settings settings, Terms terms, std::string discovery)>;
-  Reloader(std::string path, const Configuration& first);
+  Reloader(std::string path, const Configuration& first) : path_(std::move(path)), first_(first) {}
   // False: something was wrong with it, and nothing changes.
   bool reload(const Apply& apply);
 
  private:
   const std::string path_;
   const Configuration& first_;
-  Settings settings_;
-  Terms terms_;
 };
 
 }  // namespace canvasstage
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/figures.h"
 #include "policy.h"
@@ -20,6 +21,25 @@
 };
 using ParcelRef = std::shared_ptr<const Parcel>;
 
+// One launch of a submission that goes on in another process of this node, and its executor by name.
+struct MovedLaunch {
+  std::string executor, address, zone, machine_kind;
+  int cell = -1;
+  Time executor_started = 0;
+  Launch launch;
+  ParcelRef reading;  // how far its answer has been read; none where it has ended
+};
+
+// An open submission that goes on in another process of this node. Times are this process's.
+struct MovedJob {
+  Id client = 0;
+  std::string id, use_case, machine_kind;
+  UseCase terms;
+  Submission state;  // without its launches
+  ParcelRef submission;
+  std::vector<MovedLaunch> launches;
+};
+
 enum class Answer { kSatisfied, kPushedBack, kAborted, kRejected };
 
 class Effects {
@@ -41,6 +61,14 @@
   virtual void open_listener() = 0;
   virtual void close_listener() = 0;
   virtual void publish(const Figures& figures) = 0;
+  // Whether another process of this node is there to take on what this one has.
+  virtual bool has_heir() = 0;
+  // From then on each launch is told of as parked as soon as it waits for its executor, and each idle client
+  // goes to the heir by itself.
+  virtual void begin_handover(std::string knowledge) = 0;
+  virtual void hand_over(const MovedJob& job) = 0;
+  virtual void hand_over_link(Id launch, const std::string& executor, const std::string& address,
+                              Time since) = 0;
   virtual void finish() = 0;
 };
 
--- a/src/core/figures.h
+++ b/src/core/figures.h
@@ -16,8 +16,9 @@
     std::uint64_t satisfied = 0, pushed_back = 0, aborted = 0;
   };
   std::vector<UseCase> use_cases;  // one that vanished keeps its line: a counter never falls
-  // Each submission taken ends in one of the three above or with its client, or is outstanding.
-  std::uint64_t taken = 0, left = 0, outstanding = 0;
+  // Each submission taken ends in one of the three above or with its client, goes on in another process of
+  // this node, or is outstanding.
+  std::uint64_t taken = 0, left = 0, handed_over = 0, outstanding = 0;
   std::uint64_t reloads_applied = 0, reloads_rejected = 0;
   int listed = 0, avoided = 0;  // executors
   bool ready = false;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -6,23 +6,13 @@
 namespace canvasstage {
 namespace {
 
-// The module's tokens leave the two uppermost bits free.
-constexpr std::uint64_t kLaunchToken = std::uint64_t{1} << 63;
+// The module's tokens leave the two uppermost bits free; the other one is kLaunchToken.
 constexpr std::uint64_t kOwnToken = std::uint64_t{1} << 62;
 constexpr std::uint64_t kTickToken = kOwnToken;
 constexpr std::uint64_t kListenerToken = kOwnToken + 1;
 constexpr std::uint64_t kStopToken = kOwnToken + 2;
 constexpr std::uint64_t kOpenToken = kOwnToken + 3;
 
-// Descriptors that are no connection of the node's: standard streams, listener, discovery, the log; and those
-// that a burst takes while the reducer still makes room.
-int usable(Platform platform) {
-  const int descriptors = platform.descriptors - platform.console;
-  constexpr int kOwn = 8;
-  constexpr int kBurstPart = 32;
-  return std::max(4, descriptors - kOwn - descriptors / kBurstPart);
-}
-
 // Free connections are looked over this often: the module must not count on one that its executor has closed
 // (half of these had stood free for under a second), and a look at 500 of them takes under a millisecond.
 constexpr Time kTick = kSecond / 10;
@@ -39,24 +29,34 @@
 // has told the list; discovery may be down, and a new version is to be ready in 6 s.
 constexpr Time kMostListWait = 2 * kSecond;
 
+}  // namespace
+
+// Descriptors that are no connection of the node's: standard streams, listener, discovery, the log; and those
+// that a burst takes while the reducer still makes room.
+int Node::usable(Platform platform) {
+  const int descriptors = platform.descriptors - platform.console;
+  constexpr int kOwn = 8;
+  constexpr int kBurstPart = 32;
+  return std::max(4, descriptors - kOwn - descriptors / kBurstPart);
+}
+
 // The executor closes at its idle time at the latest, and clocks and wires are late.
-Time link_idle(const Settings& settings) {
+Time Node::link_idle(const Settings& settings) {
   return settings.connection_idle * 3 / 4;
 }
 
 // The module is to count on a connection for as long as the node keeps it, and no longer. An executor answers
 // when it has taken a job, before that begins.
-Settings on_sockets(Settings settings, Time idle) {
+Settings Node::on_sockets(Settings settings, Time idle) {
   settings.connection_idle = idle;
   settings.tells_taken = true;
   return settings;
 }
 
-}  // namespace
-
 Node::Node(Settings settings, Terms terms, Platform platform, std::uint32_t seed, Effects& effects, Time now,
            std::string discovery, std::uint64_t roster_version)
     : terms_(std::move(terms)),
+      settings_(settings),
       platform_(platform),
       effects_(effects),
       now_(now),
@@ -107,7 +107,12 @@
   }
   if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, true);
   ++figures_.taken;
-  found->second.served = true;
+  const int index = new_entry(client, id, use_case, due, std::move(submission));
+  policy_.submission_arrived(now, index, use_case, std::min(due, stop_by_), hint, width);
+  if (handing_over_) hand_over_if_ready(index);
+}
+
+int Node::new_entry(Id client, const std::string& id, int use_case, Time due, ParcelRef submission) {
   int index = static_cast<int>(entries_.size());
   if (unused_.empty()) {
     entries_.emplace_back();
@@ -115,16 +120,19 @@
     index = unused_.back();
     unused_.pop_back();
   }
-  found->second.submission = index;
+  Client& from = clients_.at(client);
+  from.served = true;
+  from.submission = index;
   Entry& entry = entries_[index];
   entry.client = client;
   entry.id = id;
   entry.parcel = std::move(submission);
   entry.launches.clear();
   entry.use_case = use_case;
+  entry.due = due;
   entry.pending = 0;
   entry.ended = false;
-  policy_.submission_arrived(now, index, use_case, std::min(due, stop_by_), hint, width);
+  return index;
 }
 
 void Node::turned_away(int use_case) {
@@ -172,6 +180,13 @@
   }
 }
 
+void Node::keep_to_descriptors() {
+  while (descriptors_used() > most_descriptors_ && close_longest_free_link()) {
+  }
+  // Each that is told to close still counts until it has.
+  for (int over = descriptors_used() - most_descriptors_; over > 0 && close_longest_idle_client();) --over;
+}
+
 bool Node::close_longest_idle_client() {
   auto longest = clients_.end();
   for (auto client = clients_.begin(); client != clients_.end(); ++client)
@@ -240,6 +255,8 @@
   const auto found = running_.find(id);
   if (found == running_.end() || found->second.cancelled || found->second.unsent) return;
   found->second.cancelled = true;
+  // Nobody reads from one that is parked: its own timer ends it.
+  if (found->second.reading) return effects_.wake_at(now_, kLaunchToken | id);
   effects_.give_up(id);
 }
 
@@ -255,9 +272,12 @@
 void Node::launch_timer_due(Time now, Id launch) {
   const auto found = running_.find(launch);
   if (found == running_.end()) return;
-  const bool unsent = found->second.unsent;
-  if (!unsent) effects_.give_up(launch);
-  launch_ended(now, launch, unsent ? Outcome::kUnsent : Outcome::kTimedOut, nullptr, false, nullptr);
+  const Running& running = found->second;
+  const Outcome outcome = running.unsent                         ? Outcome::kUnsent
+                          : running.cancelled && running.reading ? Outcome::kBroken
+                                                                 : Outcome::kTimedOut;
+  if (!running.unsent) effects_.give_up(launch);
+  launch_ended(now, launch, outcome, nullptr, false, nullptr);
 }
 
 void Node::launch_taken(Time now, Id launch) {
@@ -304,6 +324,9 @@
   const Time sent = policy_.submissions[running.submission].launches[running.number].sent;
   policy_.launch_ended(now, running.submission, running.number, outcome, now - sent, entry.ended, load);
   release_if_over(running.submission);
+  if (!handing_over_) return;
+  hand_over_free_links(running.executor);
+  hand_over_if_ready(running.submission);
 }
 
 // --- The roster ---
@@ -316,6 +339,7 @@
   const int index = found->second;
   if (added) places_.emplace_back();
   Place& place = places_[index];
+  place.id = id;
   const bool restarted = !added && started > policy_.executors[index].started;
   if (standing == Standing::kGone || restarted || place.address != address) close_free_links(index);
   place.address = address;
@@ -346,7 +370,9 @@
 
 void Node::settings_changed(Time now, Settings settings, Terms terms) {
   now_ = now;
+  continue_numbers(terms_, settings_, terms, settings);
   terms_ = std::move(terms);
+  settings_ = settings;
   link_idle_ = link_idle(settings);
   show_use_cases();
   ++figures_.reloads_applied;
@@ -425,6 +451,7 @@
   std::uint64_t ended = figures_.left;
   for (const Figures::UseCase& line : figures_.use_cases)
     ended += line.satisfied + line.pushed_back + line.aborted;
+  ended += figures_.handed_over;
   figures_.outstanding = figures_.taken - ended;
   figures_.listed = figures_.avoided = 0;
   for (const Executor& executor : policy_.executors) {
@@ -448,6 +475,7 @@
     // Whoever connects now is the other process's, and whoever is answered goes there.
     parting_ = true;
     effects_.close_listener();
+    if (effects_.has_heir()) begin_handover(now);
   }
   effects_.wake_at(now + std::max(kListenOn, static_cast<Time>(kServeOn * static_cast<double>(left))),
                    kListenerToken);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -25,6 +25,10 @@
   int console = 0;  // descriptors of the second address, where somebody may look at the figures; 0: none
 };
 
+// An open job in words that another process of this node reads.
+std::string written(const MovedJob& job, Time now);
+MovedJob read_job(const JsonValue& from, Time now);
+
 class Node final : public Host {
  public:
   // `roster_version`: of the remembered list that comes next; 0: there is none.
@@ -54,10 +58,24 @@
   void roster_arrived(Time now, RosterForm form, std::uint64_t version);
   void roster_refused(Time now);
   void discovery_moved(Time now, std::string address);
-  // A file read at SIGHUP, renumbered by what holds now; or one that could not be read.
+  // A file read at SIGHUP, or one that could not be read.
+  // Throws BadInput, and changes nothing, where its use cases are too many.
   void settings_changed(Time now, Settings settings, Terms terms);
   void reload_rejected() { ++figures_.reloads_rejected; }
 
+  // --- Between two processes of one node ---
+  // Another one runs beside this, or no more: what this one may have of the descriptors.
+  void limits_shared(Time now, int sixteenths);
+  // It waits for its executor and reads no more; `reading` is how far it came.
+  void launch_parked(Time now, Id launch, ParcelRef reading);
+  // What the process before this one knew (as knowledge() gives it), left free, and has open.
+  void knowledge_taken_over(Time now, const JsonValue& knowledge);
+  // The id that the connection goes by; 0: nobody is to use it.
+  Id link_taken_over(Time now, const std::string& executor, const std::string& address, Time since);
+  // The ids of its pending launches, in their order; none and false: it cannot be had.
+  bool job_taken_over(Time now, Id client, MovedJob job, std::vector<Id>& launches);
+  std::string knowledge(Time now);
+
   void timer_due(Time now, std::uint64_t token);
   // Nothing more can connect.
   void listener_closed(Time now);
@@ -83,6 +101,7 @@
     ParcelRef parcel;
     std::vector<Id> launches;
     int use_case = 0;
+    Time due = 0;  // as its client said
     int pending = 0;
     bool ended = true;
   };
@@ -92,19 +111,26 @@
     bool served = false;   // has handed in a whole submission
     bool refused = false;  // one too many: what it hands in is pushed back unseen
   };
+  static constexpr std::uint64_t kLaunchToken = std::uint64_t{1} << 63;  // a timer of a launch
   struct Running {
     int submission, number, executor;
     bool cancelled = false, unsent = false;
+    ParcelRef reading = nullptr;  // parked
   };
   struct FreeLink {
     Id launch;
     Time since;
   };
   struct Place {
-    std::string address;
+    std::string id, address;
     std::deque<FreeLink> free;  // the one used last at the back
   };
 
+  int new_entry(Id client, const std::string& id, int use_case, Time due, ParcelRef submission);
+  int use_case_like(const std::string& name, UseCase terms, const std::string& machine_kind);
+  void begin_handover(Time now);
+  void hand_over_if_ready(int submission);
+  void hand_over_free_links(int executor);
   void answer(int submission, Answer answer, const ParcelRef& result, Time stay_away);
   void release_if_over(int submission);
   void close_free_links(int executor);
@@ -112,6 +138,10 @@
   bool close_longest_free_link();
   bool close_longest_idle_client();
   void make_room(Id newest);
+  void keep_to_descriptors();
+  static int usable(Platform platform);
+  static Time link_idle(const Settings& settings);
+  static Settings on_sockets(Settings settings, Time idle);
   void launch_timer_due(Time now, Id launch);
   void count_end(int use_case, Answer answer);
   void show_use_cases();
@@ -122,6 +152,7 @@
   void finish_if_done();
 
   Terms terms_;
+  Settings settings_;  // as they were given, with the numbers that hold here
   const Platform platform_;
   Effects& effects_;
   Time now_;  // of the event that is being handled
@@ -140,6 +171,7 @@
   std::uint64_t roster_version_;
   Time stop_by_ = kNever;
   bool listening_ = false, have_roster_ = false;
+  bool handing_over_ = false;
   bool parting_ = false, closing_idle_ = false, listener_closed_ = false, finished_ = false;
   Figures figures_;
   std::vector<std::size_t> lines_;  // by use case: its line among the figures
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -62,6 +62,21 @@
   if (until_close_ || (framing == Framing::kLength && length > 0)) state_ = State::kData;
 }
 
+std::array<std::uint64_t, 5> BodyReader::place() const {
+  return {static_cast<std::uint64_t>(state_), until_close_ ? 1u : 0u, left_,
+          static_cast<std::uint64_t>(digits_), trailer_};
+}
+
+bool BodyReader::go_on_from(const std::array<std::uint64_t, 5>& place) {
+  if (place[0] > static_cast<std::uint64_t>(State::kDone) || place[1] > 1 || place[3] > 16) return false;
+  state_ = static_cast<State>(place[0]);
+  until_close_ = place[1] == 1;
+  left_ = place[2];
+  digits_ = static_cast<int>(place[3]);
+  trailer_ = place[4];
+  return true;
+}
+
 Progress BodyReader::read(const char* in, std::size_t size, char* out, std::size_t& taken,
                           std::size_t& written) {
   taken = written = 0;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -22,6 +22,9 @@
   // Takes from `in` what belongs to the body and writes its content to `out`, which may be `in`.
   Progress read(const char* in, std::size_t size, char* out, std::size_t& taken, std::size_t& written);
   bool done() const { return state_ == State::kDone; }
+  // How far it has come, for another reader that goes on from there; false: that is none.
+  std::array<std::uint64_t, 5> place() const;
+  bool go_on_from(const std::array<std::uint64_t, 5>& place);
 
  private:
   enum class State {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <malloc.h>
 #include <signal.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "net/console.h"
 #include "net/log.h"
 #include "net/server.h"
+#include "net/upgrade.h"
 
 namespace {
 
@@ -55,7 +57,8 @@
   Node* seen = nullptr;
   TermsInForce terms(c.terms);
   Board board;
-  net::World world{reducer, submissions, launches, terms, board, seen};
+  net::Parting parting;
+  net::World world{reducer, submissions, launches, terms, board, parting, nullptr, seen};
   const std::string discovery = from_environment("NODE_DISCOVERY", c.discovery);
   bool shared = false;
   net::Socket listener = client_listener(c, shared);
@@ -64,22 +67,59 @@
     console = std::make_unique<net::Console>(std::move(second), board);
   net::start_log(c.name);
   if (console) net::log_note("console on " + console->address());
-  net::Server server(world, std::move(listener), shared);
+
+  std::unique_ptr<net::Server> server;
+  std::atomic<bool> elder_goes{false};
+  const auto share_limits = [&](int sixteenths) {
+    submissions.limit(buffers / 3 * sixteenths / 16);
+    launches.limit((buffers - buffers / 3) * sixteenths / 16);
+    reducer.post([&node, sixteenths](Time now) { node->limits_shared(now, sixteenths); });
+  };
+  const auto take_over = [&](net::Upgrade::Message message) {
+    // It has begun to go: what it had is coming here, and little is left there.
+    if (!elder_goes.exchange(true)) share_limits(15);
+    const auto held = std::make_shared<net::Upgrade::Message>(std::move(message));
+    reducer.post([&server, held](Time now) {
+      try {
+        rapidjson::Document words;
+        words.Parse<net::kNotRecursive>(held->words.data(), held->words.size());
+        server->take_over(now, words, held->bytes, std::move(held->sockets));
+      } catch (const BadInput& input) {
+        net::log_note(std::string("upgrade: not taken over: ") + input.what());
+      }
+    });
+  };
+  std::unique_ptr<net::Upgrade> upgrade;
+  if (shared) {
+    upgrade = std::make_unique<net::Upgrade>(c.name, take_over,
+                                             [&](bool overlap) { share_limits(overlap ? 8 : 16); });
+    world.heir = upgrade.get();
+  }
+  server = std::make_unique<net::Server>(world, std::move(listener), upgrade.get());
   const Time start = net::now();
   const Platform platform{c.sockets, shared, console ? net::Console::kRoom + 1 : 0};
-  node = std::make_unique<Node>(c.settings, c.terms, platform, c.seed, server, start, discovery,
+  node = std::make_unique<Node>(c.settings, c.terms, platform, c.seed, *server, start, discovery,
                                 c.roster_version);
   seen = node.get();
   const JsonValue& known = member(c.file, "known");
   if (!known.IsNull()) net::take_list(*node, start, known, true);
-  server.start();
+  if (upgrade && (!parting.enable() || !upgrade->start(std::getenv("TMPDIR")))) {
+    net::log_note("upgrade: no other process can be met, this one keeps to half of its limits");
+    share_limits(8);
+  }
+  server->start();
   if (console) net::start_thread([&console] { console->run(); });
   Reloader reloader(path, c);
   const auto apply = [&](Settings settings, Terms now_terms, std::string address) {
     reducer.post([&, settings = std::move(settings), now_terms = std::move(now_terms),
                   address = std::move(address)](Time now) {
-      node->settings_changed(now, settings, now_terms);
-      terms.replace(std::make_shared<const Terms>(now_terms));
+      try {
+        node->settings_changed(now, settings, now_terms);
+      } catch (const BadInput& input) {
+        net::log_note(std::string("reload: nothing changes: ") + input.what());
+        return node->reload_rejected();
+      }
+      terms.replace(std::make_shared<const Terms>(node->terms()));
       node->discovery_moved(now, address);
     });
   };
@@ -95,7 +135,8 @@
     }
   });
   reducer.run([&node](Time now, std::uint64_t token) { node->timer_due(now, token); });
-  server.end_threads();
+  if (upgrade) upgrade->stop();
+  server->end_threads();
   if (console) console->stop();
   // Longer than any thread looks away; one that is stuck all the same ends with the process.
   const bool ended = net::threads_end_within(net::Milliseconds(1500));
--- a/src/net/buffer_pool.cpp
+++ b/src/net/buffer_pool.cpp
@@ -19,6 +19,17 @@
   return out_ < most_ ? next() : Buffer();
 }
 
+Buffer BufferPool::take_beyond() {
+  const std::lock_guard lock(mutex_);
+  return next();
+}
+
+void BufferPool::limit(std::size_t most) {
+  const std::lock_guard lock(mutex_);
+  most_ = most;
+  given_back_.notify_all();
+}
+
 Buffer BufferPool::wait_for_one(std::chrono::milliseconds limit) {
   std::unique_lock lock(mutex_);
   return given_back_.wait_for(lock, limit, [this] { return out_ < most_; }) ? next() : Buffer();
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -35,6 +35,9 @@
  public:
   explicit BufferPool(std::size_t most) : most_(most) {}
   Buffer take();
+  // What came from another process's pool has room here too.
+  Buffer take_beyond();
+  void limit(std::size_t most);
   // Empty where none came back in that time.
   Buffer wait_for_one(std::chrono::milliseconds limit);
 
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -146,12 +146,33 @@
   socket_.shut(SHUT_RDWR);
 }
 
+void ClientConnection::moved() {
+  const std::lock_guard lock(mutex_);
+  moved_ = true;
+  answered_.notify_all();
+}
+
+void ClientConnection::go_on(bool fresh, Time opened, bool keep_alive, bool open, std::string carry) {
+  fresh_ = fresh;
+  opened_ = opened;
+  keep_alive_ = keep_alive;
+  carry_ = std::move(carry);
+  const std::lock_guard lock(mutex_);
+  open_ = open;
+}
+
 // --- The thread's side ---
 
 void ClientConnection::run() {
   Reason reason = Reason::kPeerClosed;
-  while (serve_one(reason)) {
+  bool open;
+  {
+    const std::lock_guard lock(mutex_);
+    open = open_;
   }
+  if (!open || await_answer(reason))
+    while (serve_one(reason)) {
+    }
   if (lingers_) linger();  // by now it holds no buffer
   log_connection_end(Side::kClient, id_, peer_, reason);
 }
@@ -160,12 +181,37 @@
   socket_.limit_reading(Milliseconds(std::max<Time>(1, (then - now()) / (kSecond / 1000))));
 }
 
+Clock::time_point ClientConnection::by_clock(Time then) const {
+  return Clock::now() + std::chrono::microseconds((then - now()) * (1000000 / kSecond));
+}
+
+// Where a wait can be ended by a handover it has been waited already.
+int ClientConnection::peeking() const {
+  return world_.parting.enabled() ? MSG_PEEK | MSG_DONTWAIT : MSG_PEEK;
+}
+
+// Another process of this node serves it from now on.
+bool ClientConnection::move_idle(Reason& reason) {
+  Socket socket = socket_.duplicate();
+  const std::lock_guard lock(mutex_);
+  if (reading_shut_ || !socket.open()) return false;
+  world_.heir->client_moves(std::move(socket), fresh_, now() - opened_);
+  reason = Reason::kMoved;
+  return true;
+}
+
 bool ClientConnection::serve_one(Reason& reason) {
   char first;
+  bool stays = false;
   while (carry_.empty()) {
     if (fresh_ && now() >= opened_ + kMostSilence) return reason = Reason::kSilent, false;
-    wait_until(fresh_ ? opened_ + kMostSilence : now() + kIdleLookUp);
-    const long n = socket_.read(&first, 1, MSG_PEEK);
+    const Time until = fresh_ ? opened_ + kMostSilence : now() + kIdleLookUp;
+    if (!stays && world_.parting.told_before(socket_, by_clock(until))) {
+      if (move_idle(reason)) return false;
+      stays = true;
+    }
+    wait_until(until);
+    const long n = socket_.read(&first, 1, stays ? MSG_PEEK : peeking());
     if (n > 0) break;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
     const std::lock_guard lock(mutex_);
@@ -279,14 +325,25 @@
 
 // Stays in a read, so that a client that goes away is seen.
 bool ClientConnection::await_answer(Reason& reason) {
+  // How long a handover may take, as a launch may have to connect and to be written first.
+  constexpr std::chrono::seconds kMostHandover{2};
   char byte;
   wait_until(now() + kLookUp);
-  for (;;) {
-    long n = carry_.empty() ? socket_.read(&byte, 1, MSG_PEEK) : 1;
+  for (bool stays = false;;) {
+    if (!stays && carry_.empty() && world_.parting.told_before(socket_, by_clock(now() + kLookUp))) {
+      std::unique_lock lock(mutex_);
+      stays = !answered_.wait_for(lock, kMostHandover, [this] { return !open_ || moved_; });
+    }
+    const int flags = stays ? MSG_PEEK : peeking();
+    const long n = carry_.empty() ? socket_.read(&byte, 1, flags) : 1;
     const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     std::unique_lock lock(mutex_);
     // More bytes, or our own end of reading: the answer comes first.
-    if (n > 0 || (n == 0 && reading_shut_)) answered_.wait(lock, [this] { return !open_; });
+    if (n > 0 || (n == 0 && reading_shut_)) answered_.wait(lock, [this] { return !open_ || moved_; });
+    if (moved_) {
+      reason = Reason::kMoved;
+      return false;
+    }
     if (!open_ && last_) {
       reason = Reason::kAnsweredLast;
       lingers_ = true;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -39,6 +39,8 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   ClientConnection(Id id, Socket socket, std::string peer, World& world);
+  // Goes on from another process of this node. What it said since stands in `carry`; open: its submission is.
+  void go_on(bool fresh, Time opened, bool keep_alive, bool open, std::string carry);
   Id id() const { return id_; }
   void run();  // the thread's
 
@@ -46,6 +48,11 @@
   void answer(int status, std::string_view extra, const ParcelRef& result, bool last, Writers& writers);
   void close_when_idle();
   void shut();
+  // Its submission goes on elsewhere, and it with it.
+  void moved();
+  const Socket& socket() const { return socket_; }
+  const std::string& carry() const { return carry_; }
+  bool keep_alive() const { return keep_alive_; }
 
   // A writer's.
   void write_rest(std::string_view rest, bool last);
@@ -57,6 +64,9 @@
   bool read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried, Reason& reason);
   bool hand_in(std::shared_ptr<Submitted> submission, Reason& reason);
   bool await_answer(Reason& reason);
+  bool move_idle(Reason& reason);
+  Clock::time_point by_clock(Time then) const;
+  int peeking() const;
   bool reject(int status, Reason why, Reason& reason);
   void tell_turned_away();
   void linger();
@@ -66,14 +76,14 @@
   const Socket socket_;
   const std::string peer_;
   World& world_;
-  const Time opened_ = now();
+  Time opened_ = now();
   bool fresh_ = true;     // nothing whole has come yet
   bool lingers_ = false;  // its last answer may still be on its way
   std::string carry_;     // what came behind the submission that is open
   bool keep_alive_ = true;
   std::mutex mutex_;
   std::condition_variable answered_;
-  bool open_ = false, last_ = false, reading_shut_ = false;
+  bool open_ = false, last_ = false, reading_shut_ = false, moved_ = false;
 };
 
 }  // namespace canvasstage::net
--- a/src/net/console.cpp
+++ b/src/net/console.cpp
@@ -85,6 +85,7 @@
           .append("\n");
   line("taken_total", "counter", figures.taken);
   line("left_total", "counter", figures.left);
+  line("handed_over_total", "counter", figures.handed_over);
   line("forwards_total", "counter", forwards);
   line("outstanding", "gauge", figures.outstanding);
   line("discovered", "gauge", static_cast<std::uint64_t>(figures.listed));
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -42,6 +42,31 @@
   changed_.notify_one();
 }
 
+void ExecutorConnection::go_on(Id id, const std::string& address, ParcelRef submission,
+                               std::shared_ptr<const Reading> reading) {
+  const std::lock_guard lock(mutex_);
+  socket_ = std::move(reading->socket);
+  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), 0, reading};
+  changed_.notify_one();
+}
+
+void ExecutorConnection::stand_free(Id id, const std::string& address, Socket socket) {
+  const std::lock_guard lock(mutex_);
+  socket_ = std::move(socket);
+  work_.id = id;
+  work_.address = address;
+}
+
+Socket ExecutorConnection::release() {
+  const std::lock_guard lock(mutex_);
+  Socket released;
+  if (idle_ && !next_ && !given_up_) std::swap(released, socket_);
+  given_up_ = true;
+  socket_.shut(SHUT_RDWR);
+  changed_.notify_one();
+  return released;
+}
+
 void ExecutorConnection::give_up() {
   const std::lock_guard lock(mutex_);
   given_up_ = true;
@@ -62,7 +87,9 @@
   for (;;) {
     {
       std::unique_lock lock(mutex_);
+      idle_ = true;
       changed_.wait(lock, [this] { return given_up_ || next_; });
+      idle_ = false;
       if (!next_) break;
       work_ = std::move(*next_);
       next_.reset();
@@ -70,6 +97,7 @@
     Ending ending;
     serve(ending);
     work_.submission.reset();
+    if (ending.parked) return;
     if (!ending.kept) drop_socket(was_given_up() ? Reason::kGivenUp : ending.reason);
     if (!ending.told) tell_end(ending.outcome, nullptr, false, -1, ending);
     if (!ending.kept) return;
@@ -150,6 +178,7 @@
 }
 
 void ExecutorConnection::serve(Ending& ending) {
+  if (work_.reading) return read_on(ending);
   bool connected = false;
   try {
     connected = connect(ending);
@@ -162,7 +191,31 @@
   if (connected && write(ending)) read_answer(ending);
 }
 
+// Leaves the rest to another process of this node.
+void ExecutorConnection::park(bool has_head, const Answer& answer, const http::BodyReader& reader,
+                              std::string_view bytes, Ending& ending) {
+  auto reading = std::make_shared<Reading>();
+  reading->has_head = has_head;
+  reading->keep_alive = answer.keep_alive;
+  reading->reused = ending.reused;
+  reading->place = reader.place();
+  reading->bytes = bytes;
+  {
+    const std::lock_guard lock(mutex_);
+    ending.parked = !given_up_;
+    if (given_up_) return;
+    std::swap(reading->socket, socket_);
+  }
+  world_.reducer.post([&world = world_, id = work_.id, reading = ParcelRef(std::move(reading))](Time now) {
+    world.node->launch_parked(now, id, reading);
+  });
+}
+
 bool ExecutorConnection::read_more(char* data, std::size_t room, std::size_t& size, Ending& ending) {
+  if (may_park_ && size < room && world_.parting.told_before(socket_, read_until_)) {
+    ending.parked = true;
+    return false;
+  }
   const long n = size < room ? socket_.read_until(read_until_, data + size, room - size) : 0;
   if (n > 0)
     size += static_cast<std::size_t>(n);
@@ -171,19 +224,40 @@
   return n > 0;
 }
 
-void ExecutorConnection::read_answer(Ending& ending) {
+Buffer ExecutorConnection::wait_for_buffer() {
   // One that is given up meanwhile, at its hard limit at the latest, waits no longer than this.
   constexpr Milliseconds kLookUp{50};
   Buffer buffer;
   while (!buffer && !was_given_up()) buffer = world_.launches.wait_for_one(kLookUp);
-  if (!buffer) return;
-  char* const data = buffer.data();
   socket_.limit_reading(Milliseconds(0));
   read_until_ = Clock::time_point::max();
+  may_park_ = true;
+  return buffer;
+}
+
+// Where another process stopped.
+void ExecutorConnection::read_on(Ending& ending) {
+  const std::shared_ptr<const Reading> reading = std::move(work_.reading);
+  ending.reused = reading->reused;
+  if (!reading->has_head) return read_answer(ending, reading->bytes);
+  Buffer buffer = wait_for_buffer();
+  http::BodyReader reader;
+  const std::size_t size = reading->bytes.size();
+  if (!buffer || size > Buffer::kSize || !reader.go_on_from(reading->place)) return;
+  std::copy(reading->bytes.begin(), reading->bytes.end(), buffer.data());
+  read_body({200, reading->keep_alive}, reader, buffer, 0, size, size, ending);
+}
+
+void ExecutorConnection::read_answer(Ending& ending, std::string_view begun) {
+  Buffer buffer = wait_for_buffer();
+  if (!buffer || begun.size() > Buffer::kSize) return;
+  char* const data = buffer.data();
+  std::copy(begun.begin(), begun.end(), data);
   http::Head head(http::Head::Kind::kAnswer);
-  std::size_t size = 0;
+  std::size_t size = begun.size();
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
     if (!read_more(data, Buffer::kSize, size, ending)) {
+      if (ending.parked) return park(false, {}, {}, {data, size}, ending);
       if (ending.reused && size == 0) ending.outcome = Outcome::kStale;
       return;
     }
@@ -194,7 +268,8 @@
   }
   if (head.status == 200)
     world_.reducer.post([&world = world_, id = work_.id](Time now) { world.node->launch_taken(now, id); });
-  read_body(head, buffer, size, ending);
+  http::BodyReader reader(head.framing, head.length);
+  read_body({head.status, head.keep_alive}, reader, buffer, head.size(), head.size(), size, ending);
   if (ending.told || head.status == 200) return;
   const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
   tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, ending.whole && head.keep_alive,
@@ -202,12 +277,12 @@
 }
 
 // The lines of a 200 are taken as they come; of any other answer the body is read over.
-void ExecutorConnection::read_body(const http::Head& head, Buffer& buffer, std::size_t size, Ending& ending) {
-  http::BodyReader reader(head.framing, head.length);
+// From `start` on the buffer holds content, from `raw` on what is still to be read as the body.
+void ExecutorConnection::read_body(const Answer& answer, http::BodyReader& reader, Buffer& buffer,
+                                   std::size_t start, std::size_t raw, std::size_t size, Ending& ending) {
   char* const data = buffer.data();
-  const std::size_t start = head.size();
-  std::size_t raw = start, content = start, taken = 0, written = 0;
-  while (head.status == 200) {
+  std::size_t content = raw, taken = 0, written = 0;
+  while (answer.status == 200) {
     const http::Progress progress = reader.read(data + raw, size - raw, data + content, taken, written);
     if (progress == http::Progress::kBad) {
       ending.reason = Reason::kBadMessage;
@@ -219,7 +294,7 @@
       const char* const end = static_cast<char*>(std::memchr(data + line, '\n', content - line));
       if (end == nullptr) break;
       const std::size_t length = static_cast<std::size_t>(end - data) - line;
-      if (length > 1) take_line({data + line, length}, head.keep_alive, buffer, ending);
+      if (length > 1) take_line({data + line, length}, answer.keep_alive, buffer, ending);
       line += length + 1;
     }
     ending.whole = progress == http::Progress::kDone;
@@ -227,7 +302,9 @@
     if (ending.told) break;
     std::memmove(data + start, data + line, content - line);
     size = raw = content = start + (content - line);
-    if (!read_more(data, Buffer::kSize, size, ending)) return;
+    if (read_more(data, Buffer::kSize, size, ending)) continue;
+    if (ending.parked) park(true, answer, reader, {data + start, size - start}, ending);
+    return;
   }
   if (!ending.told &&
       reader.read(data + raw, size - raw, data + content, taken, written) == http::Progress::kBad)
@@ -242,6 +319,7 @@
 // result's by now.
 void ExecutorConnection::read_tail(http::BodyReader& reader, Ending& ending) {
   char tail[512];
+  may_park_ = false;
   socket_.limit_reading(kMostTail);
   read_until_ = Clock::now() + kMostTail;
   while (!reader.done()) {
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -2,6 +2,7 @@
 // answer and tells the reducer what it saw; then it waits for the next.
 #pragma once
 
+#include <array>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -15,6 +16,15 @@
 
 namespace canvasstage::net {
 
+// How far a launch's answer has been read, and the connection that the rest comes on.
+struct Reading final : Parcel {
+  mutable Socket socket;  // whoever goes on takes it
+  bool has_head = false;  // then `status` is 200, and `bytes` the beginning of a line
+  bool keep_alive = false, reused = false;
+  std::array<std::uint64_t, 5> place{};  // in the body
+  std::string bytes;
+};
+
 class ExecutorConnection {
  public:
   ExecutorConnection(World& world, Milliseconds connect_within)
@@ -23,6 +33,11 @@
 
   // The reducer's. One launch at a time; the next one once the last has ended.
   void launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at);
+  // Goes on where another process stopped, or stands free with its connection.
+  void go_on(Id id, const std::string& address, ParcelRef submission, std::shared_ptr<const Reading> reading);
+  void stand_free(Id id, const std::string& address, Socket socket);
+  // Its connection, if it stands free; it ends.
+  Socket release();
   void give_up();
   bool still_open();
 
@@ -32,6 +47,11 @@
     std::string address;
     std::shared_ptr<const Submitted> submission;
     Time give_up_at = 0;
+    std::shared_ptr<const Reading> reading = nullptr;
+  };
+  struct Answer {
+    int status = 0;
+    bool keep_alive = false;
   };
   struct Ending {
     Outcome outcome = Outcome::kBroken;
@@ -39,6 +59,7 @@
     bool kept = false;    // the connection can carry another
     bool whole = false;   // the answer was read to its end
     bool reused = false;  // over a connection that had stood free
+    bool parked = false;  // another process reads the rest
     Reason reason = Reason::kPeerBroke;
   };
   void serve(Ending& ending);
@@ -46,9 +67,14 @@
   bool stale() const;
   bool was_given_up();
   bool write(Ending& ending);
-  void read_answer(Ending& ending);
+  void read_answer(Ending& ending, std::string_view begun = {});
+  void read_on(Ending& ending);
+  Buffer wait_for_buffer();
+  void park(bool has_head, const Answer& answer, const http::BodyReader& reader, std::string_view bytes,
+            Ending& ending);
   bool read_more(char* data, std::size_t room, std::size_t& size, Ending& ending);
-  void read_body(const http::Head& head, Buffer& buffer, std::size_t size, Ending& ending);
+  void read_body(const Answer& answer, http::BodyReader& reader, Buffer& buffer, std::size_t start,
+                 std::size_t raw, std::size_t size, Ending& ending);
   void read_tail(http::BodyReader& reader, Ending& ending);
   void take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending);
   void drop_socket(Reason reason);
@@ -59,10 +85,11 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   Socket socket_;
-  bool given_up_ = false;
+  bool given_up_ = false, idle_ = false;
   std::optional<Work> next_;
   Work work_;                     // the thread's own, as what follows
   Clock::time_point read_until_;  // of the answer that is being read
+  bool may_park_ = false;
 };
 
 }  // namespace canvasstage::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -19,7 +19,7 @@
   static constexpr std::string_view kNames[] = {
       "peer_closed", "peer_broke", "left_while_open", "answered_last", "idle",
       "bad_message", "too_large",  "no_room",         "unreachable",   "send_failed",
-      "given_up",    "no_reuse",   "silent",          "refused"};
+      "given_up",    "no_reuse",   "silent",          "refused",       "moved"};
   return kNames[static_cast<int>(reason)];
 }
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -25,6 +25,7 @@
   kNoReuse,
   kSilent,
   kRefused,
+  kMoved,
 };
 
 void start_log(const std::string& name);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -7,8 +7,8 @@
 
 namespace canvasstage::net {
 
-Server::Server(World& world, Socket listener, bool shared)
-    : world_(world), listener_(std::move(listener)), shared_listener_(shared) {}
+Server::Server(World& world, Socket listener, Upgrade* upgrade)
+    : world_(world), listener_(std::move(listener)), upgrade_(upgrade) {}
 
 void Server::start() {
   log_note("listening on " + listener_.address());
@@ -29,7 +29,7 @@
   listener_.limit_reading(kQuiet);
   Time came = 0;  // when the last one did
   for (;;) {
-    if (shared_listener_) {
+    if (upgrade_ != nullptr) {
       // What waits there once this one closes is the other's; and what was seen may be gone by now.
       if (closing_) break;
       if (!listener_.readable_within(kQuiet)) continue;
@@ -71,18 +71,41 @@
     clients_.emplace(client->id(), client);
     world_.node->client_opened(now, client->id());
   });
-  const auto closed = [this, id] {
-    world_.reducer.post([this, id](Time now) {
-      clients_.erase(id);
-      world_.node->client_closed(now, id);
+  start(client, when_gone(id));
+}
+
+std::function<void()> Server::when_gone(Id client) {
+  return [this, client] {
+    world_.reducer.post([this, client](Time now) {
+      clients_.erase(client);
+      world_.node->client_closed(now, client);
     });
   };
-  const bool started = start_thread([client, closed]() mutable {
+}
+
+bool Server::start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone) {
+  const bool started = start_thread([client = client, gone]() mutable {
     client->run();
     client.reset();
-    closed();
+    gone();
+  });
+  if (!started) gone();
+  return started;
+}
+
+std::shared_ptr<ExecutorConnection> Server::new_link() {
+  const std::shared_ptr<const Terms> terms = world_.terms.read();
+  const Time within = std::min(terms->connect_within, terms->drain_grace / 2);
+  return std::make_shared<ExecutorConnection>(world_, Milliseconds(within / (kSecond / 1000)));
+}
+
+bool Server::start(const std::shared_ptr<ExecutorConnection>& link) {
+  return start_thread([this, link] {
+    link->run();
+    world_.reducer.post([this, gone = link.get()](Time) {
+      std::erase_if(links_, [gone](const auto& entry) { return entry.second.get() == gone; });
+    });
   });
-  if (!started) closed();
 }
 
 // --- Effects ---
@@ -111,16 +134,8 @@
     link = std::move(found->second);
     links_.erase(found);
   } else {
-    const std::shared_ptr<const Terms> terms = world_.terms.read();
-    const Time within = std::min(terms->connect_within, terms->drain_grace / 2);
-    link = std::make_shared<ExecutorConnection>(world_, Milliseconds(within / (kSecond / 1000)));
-    const bool started = start_thread([this, link] {
-      link->run();
-      world_.reducer.post([this, gone = link.get()](Time) {
-        std::erase_if(links_, [gone](const auto& entry) { return entry.second.get() == gone; });
-      });
-    });
-    if (!started) {
+    link = new_link();
+    if (!start(link)) {
       world_.reducer.post([this, launch](Time now) {
         world_.node->launch_ended(now, launch, Outcome::kUnsent, nullptr, false, nullptr);
       });
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -3,23 +3,26 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/effects.h"
 #include "net/client.h"
 #include "net/discovery.h"
 #include "net/executor.h"
+#include "net/upgrade.h"
 #include "net/world.h"
 
 namespace canvasstage::net {
 
 class Server final : public Effects {
  public:
-  // `shared`: another process may hold the same listening socket.
-  Server(World& world, Socket listener, bool shared);
+  // `upgrade`: where another process may hold the same listening socket; else null.
+  Server(World& world, Socket listener, Upgrade* upgrade);
   void start();
   // After the reducer has finished: ends every thread.
   void end_threads();
@@ -35,15 +38,29 @@
   void open_listener() override;
   void close_listener() override;
   void publish(const Figures& figures) override { world_.board.publish(figures); }
+  bool has_heir() override { return upgrade_ != nullptr && upgrade_->has_heir(); }
+  void begin_handover(std::string knowledge) override;
+  void hand_over(const MovedJob& job) override;
+  void hand_over_link(Id launch, const std::string& executor, const std::string& address,
+                      Time since) override;
+  // What the process before this one hands over, on the reducer's thread.
+  void take_over(Time now, const JsonValue& words, const std::string& bytes, std::vector<Socket> sockets);
   void finish() override { world_.reducer.finish(); }
 
  private:
   void listen();
   void accept(Socket socket, std::string peer);
+  std::function<void()> when_gone(Id client);
+  static bool start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone);
+  std::shared_ptr<ExecutorConnection> new_link();
+  bool start(const std::shared_ptr<ExecutorConnection>& link);
+  std::shared_ptr<ClientConnection> take_client(Time now, Socket socket, bool fresh, Time opened,
+                                                bool keep_alive, bool open, std::string carry);
+  void take_job(Time now, const JsonValue& words, const std::string& bytes, std::vector<Socket> sockets);
 
   World& world_;
   Socket listener_;  // the listener thread's
-  const bool shared_listener_;
+  Upgrade* const upgrade_;
   std::mutex mutex_;
   std::condition_variable changed_;
   bool opened_ = false;
@@ -52,7 +69,7 @@
   std::unordered_map<Id, std::shared_ptr<ClientConnection>> clients_;
   std::unordered_map<Id, std::shared_ptr<ExecutorConnection>> links_;
   std::shared_ptr<Watch> watch_;
-  Id last_client_ = 0;  // the listener thread's
+  std::atomic<Id> last_client_{0};
 };
 
 }  // namespace canvasstage::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -85,6 +86,13 @@
   return written_out(at);
 }
 
+std::string Socket::peer() const {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  ::getpeername(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+  return written_out(at);
+}
+
 void Socket::limit_sending(Milliseconds value) const {
   limit(fd_, SO_SNDTIMEO, value);
 }
@@ -150,6 +158,36 @@
   if (fd_ >= 0) ::shutdown(fd_, how);
 }
 
+Socket Socket::duplicate() const {
+  return Socket(::fcntl(fd_, F_DUPFD_CLOEXEC, 0));
+}
+
+bool Parting::enable() {
+  event_ = Socket(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
+  return event_.open();
+}
+
+void Parting::tell() const {
+  const std::uint64_t one = 1;
+  if (event_.open() && ::write(event_.fd(), &one, sizeof one) != sizeof one)
+    throw std::runtime_error("an event that cannot be told");
+}
+
+bool Parting::told_before(const Socket& socket, Clock::time_point then) const {
+  if (!event_.open()) return false;
+  for (;;) {
+    pollfd both[2] = {{socket.fd(), POLLIN, 0}, {event_.fd(), POLLIN, 0}};
+    int left = -1;
+    if (then != Clock::time_point::max()) {
+      const auto span = std::chrono::ceil<Milliseconds>(then - Clock::now());
+      left = static_cast<int>(std::clamp<Milliseconds::rep>(span.count(), 0, 60000));
+    }
+    const int ready = ::poll(both, 2, left);
+    if (both[1].revents != 0 && ready > 0) return true;
+    if (ready > 0 || (ready == 0 && Clock::now() >= then)) return false;
+  }
+}
+
 bool is_address(const std::string& text) {
   sockaddr_in unused;
   return parse_address(text, unused);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -26,6 +26,7 @@
   int fd() const { return fd_; }
   bool open() const { return fd_ >= 0; }
   std::string address() const;  // its own
+  std::string peer() const;     // the other end's
   void limit_sending(Milliseconds limit) const;
   void limit_reading(Milliseconds limit) const;  // 0: none
   // Fills what it can: -1 with errno, or 0 at the end of the stream. EAGAIN before the limit: the process was
@@ -40,11 +41,26 @@
   // As much as goes without waiting; -1: the connection is broken.
   long write_some(std::string_view first, std::string_view second) const;
   void shut(int how) const;
+  // A second descriptor for the same connection; not open where the system has none.
+  Socket duplicate() const;
 
  private:
   int fd_ = -1;
 };
 
+// Told once, from then on seen by every wait. Not enabled it is never told, and no wait asks for it.
+class Parting {
+ public:
+  bool enable();
+  bool enabled() const { return event_.open(); }
+  void tell() const;
+  // Waits until there is something to read, until then, or until it is told: true.
+  bool told_before(const Socket& socket, Clock::time_point then) const;
+
+ private:
+  Socket event_;
+};
+
 bool is_address(const std::string& text);
 // Listening, making and connecting throw std::runtime_error where the address cannot be read or the system
 // refuses.
--- /dev/null
+++ b/src/net/upgrade.h
@@ -0,0 +1,65 @@
+// A new version under load: what two processes of one node say to each other. They meet at a Unix socket in a
+// folder that both have. The one that comes connects to the one that is there, and takes its place for those
+// to come. Silent unless the platform holds the clients' listening socket.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "net/world.h"
+
+namespace canvasstage::net {
+
+class Upgrade final : public Heir {
+ public:
+  // JSON, bytes behind it, and descriptors: one thing that is handed over.
+  struct Message {
+    std::string words, bytes;
+    std::vector<Socket> sockets;
+  };
+  using Taken = std::function<void(Message)>;  // from the process before
+  using Overlap = std::function<void(bool)>;   // another process runs beside this one, or no more
+
+  // `node`: processes of another one are not spoken to.
+  Upgrade(std::string node, Taken taken, Overlap overlap)
+      : node_(std::move(node)), taken_(std::move(taken)), overlap_(std::move(overlap)) {}
+  // Meets the process that is there, if any; waits for its word, but not long. False: nobody can be met, as
+  // the folder is not to be used.
+  bool start(const char* folder);
+  bool has_heir() const { return has_heir_; }
+  // Whether a process was there at the start.
+  bool has_elder() const { return has_elder_; }
+  // From any thread, once there is an heir.
+  void send(Message message);
+  void client_moves(Socket socket, bool fresh, Time since_opened) override;
+  // Sends what is left, as long as that goes, and ends its threads.
+  void stop();
+
+ private:
+  void meet_heirs();
+  void follow_elder();
+  void write_out();
+  bool greet(const Socket& socket, bool first);
+
+  const std::string node_;
+  const Taken taken_;
+  const Overlap overlap_;
+  Socket listener_, elder_;
+  std::atomic<bool> has_heir_{false}, has_elder_{false}, stopped_{false};
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  Socket heir_;  // the sender's once it is there
+  std::deque<Message> queue_;
+  bool sending_ = false, broken_ = false;
+};
+
+// One message over a Unix socket; false: the other side is gone, or what came is none.
+bool send_message(const Socket& socket, const Upgrade::Message& message);
+bool receive_message(const Socket& socket, Upgrade::Message& message);
+
+}  // namespace canvasstage::net
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -5,19 +5,30 @@
 #include "http/parser.h"
 #include "net/buffer_pool.h"
 #include "net/reducer.h"
+#include "net/socket.h"
 
 namespace canvasstage::net {
 
 // For JSON that comes from outside: nothing nested, however deep, may grow a small stack.
 constexpr unsigned kNotRecursive = rapidjson::kParseIterativeFlag;
 
+// Takes on what stays open when this process ends.
+class Heir {
+ public:
+  virtual ~Heir() = default;
+  // From any thread. Nothing whole has come from one that is fresh.
+  virtual void client_moves(Socket socket, bool fresh, Time since_opened) = 0;
+};
+
 struct World {
   Reducer& reducer;
   BufferPool& submissions;  // buffers for these, and for launches: the one cannot starve the other
   BufferPool& launches;
   const TermsInForce& terms;
   Board& board;
-  Node*& node;  // for the events that the reducer runs, and for nobody else
+  const Parting& parting;  // this process is to hand over what it has
+  Heir* heir;              // and to whom; read only once that was told
+  Node*& node;             // for the events that the reducer runs, and for nobody else
 };
 
 // A submission as its client wrote it.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -75,8 +75,8 @@
     order_.push_back(added);
     std::swap(order_.back(), order_[random_() % order_.size()]);
   }
-  if (zone >= static_cast<int>(zones_.size())) zones_.resize(zone + 1);
-  if (kind >= static_cast<int>(widest_.size())) widest_.resize(kind + 1, 1.0);
+  if (zone >= static_cast<int>(zones.size())) zones.resize(zone + 1);
+  if (kind >= static_cast<int>(widest.size())) widest.resize(kind + 1, 1.0);
   Executor& executor = executors[index];
   // A process that has restarted is a new one: what was learned of its health and load is void.
   if (executor.known && started > executor.started) {
@@ -177,7 +177,7 @@
 
 void Policy::heard_from(Time now, const Executor& executor, Time delay) {
   if (executor.zone < 0) return;
-  ZoneDelay& zone = zones_[executor.zone];
+  ZoneDelay& zone = zones[executor.zone];
   if (now - zone.since > kDelaySpan) {
     zone.before = now - zone.since > 2 * kDelaySpan ? kNever : zone.now;
     zone.now = kNever;
@@ -188,9 +188,9 @@
 
 Time Policy::delay(const Executor& executor) const {
   if (executor.zone == settings_.zone || executor.zone < 0) return 0;
-  if (settings_.zone < 0 || settings_.zone >= static_cast<int>(zones_.size())) return 0;
-  const ZoneDelay& there = zones_[executor.zone];
-  const ZoneDelay& here = zones_[settings_.zone];
+  if (settings_.zone < 0 || settings_.zone >= static_cast<int>(zones.size())) return 0;
+  const ZoneDelay& there = zones[executor.zone];
+  const ZoneDelay& here = zones[settings_.zone];
   const Time there_shortest = std::min(there.now, there.before);
   const Time here_shortest = std::min(here.now, here.before);
   if (there_shortest == kNever || here_shortest == kNever) return 0;
@@ -406,7 +406,7 @@
   const double age = std::max(0.0, seconds(now - settings_.fall_span - executor.started));
   const double warm = settings_.warm_up > 0 ? std::min(1.0, age / seconds(settings_.warm_up)) : 1.0;
   const double part = settings_.cold_from + (1 - settings_.cold_from) * warm;
-  const double width = executor.kind >= 0 ? widest_[executor.kind] : 1.0;
+  const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
   return kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width *
          seconds(settings_.fall_span);
 }
@@ -796,6 +796,13 @@
   taken_.add(now, kHealthLife, 1);
 }
 
+void Policy::count_running(Executor& executor, const Submission& submission, const Launch& launch) {
+  executor.running_width += submission.width;
+  executor.running_cost += launch.cost;
+  executor.running_since += seconds(launch.began);
+  if (executor.kind >= 0) widest[executor.kind] = std::max(widest[executor.kind], executor.running_width);
+}
+
 void Policy::launch_started(Time now, int index, int number) {
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
@@ -804,10 +811,7 @@
   launch.began = launch.heard = now;
   Executor& executor = executors[launch.executor];
   --executor.unstarted;
-  executor.running_width += submission.width;
-  executor.running_cost += launch.cost;
-  executor.running_since += seconds(now);
-  if (executor.kind >= 0) widest_[executor.kind] = std::max(widest_[executor.kind], executor.running_width);
+  count_running(executor, submission, launch);
   start_wait_.add(now, kHealthLife, seconds(now - launch.sent));
   starts_.add(now, kHealthLife, 1);
   heard_from(now, executor, now - launch.sent);
@@ -953,6 +957,79 @@
       end(now, static_cast<int>(i), true);
 }
 
+void Policy::executor_learned(Time now, int index, const Executor& learned) {
+  Executor& executor = executors[index];
+  count_speed(executor, -1);
+  executor.work = learned.work;
+  executor.latency = learned.latency;
+  executor.good = learned.good;
+  executor.bad = learned.bad;
+  executor.wait = learned.wait;
+  executor.away = learned.away;
+  executor.away_until = learned.away_until;
+  std::erase_if(executor.cold_sends,
+                [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
+  executor.cold_sends.insert(executor.cold_sends.end(), learned.cold_sends.begin(), learned.cold_sends.end());
+  count_speed(executor, 1);
+}
+
+void Policy::work_learned(int use_case, double work, double weight) {
+  work_[use_case] = work;
+  work_weight_[use_case] = weight;
+}
+
+void Policy::connection_taken_over(int index, Time used) {
+  Executor& executor = executors[index];
+  ++executor.connections;
+  executor.used = std::max(executor.used, used);
+  if (std::find(contacts.begin(), contacts.end(), index) == contacts.end()) contacts.push_back(index);
+}
+
+void Policy::submission_taken_over(Time now, int index, Submission open) {
+  if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
+  Submission& submission = submissions[index];
+  submission = std::move(open);
+  submission.open = true;
+  submission.held = false;
+  submission.serial = ++serial_;
+  for (const Launch& launch : submission.launches) {
+    if (!launch.pending) continue;
+    connection_taken_over(launch.executor, now);
+    Executor& executor = executors[launch.executor];
+    ++executor.open;
+    executor.open_cost += launch.cost;
+    if (launch.began < 0)
+      ++executor.unstarted;
+    else
+      count_running(executor, submission, launch);
+  }
+  wake(submission.due - 2 * settings_.quantum, index);
+  if (pending_launches(submission) == 0) return place(now, index);
+  wake(now, index);
+}
+
+void Policy::submission_handed_over(Time now, int index) {
+  Submission& submission = submissions[index];
+  submission.open = false;
+  let_go(index);
+  for (Launch& launch : submission.launches) {
+    if (!launch.pending) continue;
+    close_launch(now, submission, launch);
+    connection_closed(launch.executor);
+  }
+}
+
+void Policy::each_sum(const std::function<void(const char*, DecayingSum&)>& visit) {
+  visit("arrivals", arrivals_);
+  visit("waited", waited_);
+  visit("askedValue", asked_value_);
+  visit("askedWork", asked_work_);
+  visit("startWait", start_wait_);
+  visit("starts", starts_);
+  visit("takenWait", taken_wait_);
+  visit("taken", taken_);
+}
+
 void Policy::timer_due(Time now, std::uint64_t token) {
   if (token == kTickToken) return tick(now);
   const std::uint64_t index = token & ((1u << kIndexBits) - 1);
--- a/src/policy.h
+++ b/src/policy.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -158,6 +159,17 @@
   void hurry(Time now, int submission, Time due);  // its hard limit comes earlier: the node is to stop
   // Use cases keep their indices; further ones come behind them.
   void settings_changed(Time now, Settings settings);
+
+  // What another process of this node knew, and has open, goes on here. Executors and use cases are known by
+  // then; connections that no launch uses are told one by one.
+  void executor_learned(Time now, int executor, const Executor& learned);
+  void work_learned(int use_case, double work, double weight);
+  void connection_taken_over(int executor, Time used);
+  void submission_taken_over(Time now, int submission, Submission open);
+  // It goes on in another process: nothing more is decided about it here.
+  void submission_handed_over(Time now, int submission);
+  // All that fades with time and belongs to no executor, by name.
+  void each_sum(const std::function<void(const char*, DecayingSum&)>& visit);
   void timer_due(Time now, std::uint64_t token);
 
   // The parts of a decision, open to tests and to whoever wants to look.
@@ -175,9 +187,14 @@
   double cost(const Submission& submission) const;
   Time keep_until(Time now, const Submission& submission);
 
+  double work_of(int use_case) const { return work_[use_case]; }
+  double work_weight_of(int use_case) const { return work_weight_[use_case]; }
+
   std::vector<Executor> executors;
   std::vector<int> contacts;            // executors that may have a connection of ours
   std::vector<Submission> submissions;  // by the index that the adapter gives; reused
+  std::vector<ZoneDelay> zones;
+  std::vector<double> widest;  // most width seen at once on one executor, by machine kind
 
  private:
   void place(Time now, int submission);
@@ -189,6 +206,7 @@
   void end(Time now, int submission, bool push_back);
   void let_go(int submission);
   void close_launch(Time now, Submission& submission, Launch& launch);
+  void count_running(Executor& executor, const Submission& submission, const Launch& launch);
   void follow_list(Time now);
   void tick(Time now);
   double value_per_work(const Submission& submission) const;
@@ -222,13 +240,11 @@
   std::mt19937 random_;
   std::vector<double> work_, work_weight_;  // learned cost of each use case, in seconds on the mean executor
   std::vector<int> held_;                   // submissions without a launch, in order of arrival
-  std::vector<double> widest_;              // most width seen at once on one executor, by machine kind
-  std::vector<ZoneDelay> zones_;
-  DecayingSum arrivals_, waited_;         // of late, all and those that waited until their chance fell
-  DecayingSum asked_value_, asked_work_;  // of late, to tell what room is worth
-  DecayingSum start_wait_, starts_;       // seconds until launches began, and how many
-  DecayingSum taken_wait_, taken_;        // seconds until they were taken, and how many
-  double speed_sum_ = 0;                  // of the ready executors whose speed is known
+  DecayingSum arrivals_, waited_;           // of late, all and those that waited until their chance fell
+  DecayingSum asked_value_, asked_work_;    // of late, to tell what room is worth
+  DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
+  DecayingSum taken_wait_, taken_;          // seconds until they were taken, and how many
+  double speed_sum_ = 0;                    // of the ready executors whose speed is known
   int speed_count_ = 0;
   std::uint64_t list_ = 0;  // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -2,6 +2,7 @@
 // and stand-ins for what a real node speaks to.
 #pragma once
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -99,6 +100,15 @@
   std::vector<std::string> watches;  // their addresses
   bool listening = false, running = true;
   Figures figures;
+  struct Link {
+    Id launch;
+    std::string executor, address;
+    Time since;
+  };
+  bool heir = false;
+  std::string handed_knowledge;
+  std::vector<MovedJob> handed_jobs;
+  std::vector<Link> handed_links;
   void answer(Id client, Answer answer, const ParcelRef&, Time, bool last) override {
     answers.emplace_back(client, answer);
     lasts.push_back(last);
@@ -116,6 +126,13 @@
   void open_listener() override { listening = true; }
   void close_listener() override { listening = false; }
   void publish(const Figures& now) override { figures = now; }
+  bool has_heir() override { return heir; }
+  void begin_handover(std::string knowledge) override { handed_knowledge = std::move(knowledge); }
+  void hand_over(const MovedJob& job) override { handed_jobs.push_back(job); }
+  void hand_over_link(Id launch, const std::string& executor, const std::string& address,
+                      Time since) override {
+    handed_links.push_back({launch, executor, address, since});
+  }
   void finish() override { running = false; }
 };
 
@@ -277,14 +294,39 @@
   net::Socket socket_;
 };
 
+// What the platform holds for several processes of one node: the clients' listening socket and a folder.
+struct Held {
+  Held() : listener(net::listen_on("127.0.0.1:0")), folder("/tmp/canvasstage-held-XXXXXX") {
+    if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no folder");
+  }
+  ~Held() {
+    for (const char* const name : {"/canvasstage.sock", "/canvasstage.sock.new"})
+      std::remove((folder + name).c_str());
+    rmdir(folder.c_str());
+  }
+  net::Socket listener;
+  std::string folder;
+};
+
 // The program, with stand-ins for discovery and two executors that its remembered list names.
 class Running {
  public:
   explicit Running(int sockets = 256, const std::string& listen = "127.0.0.1:0",
-                   const std::string& seed = "7") {
+                   const std::string& seed = "7")
+      : Running(sockets, listen, seed, nullptr, nullptr) {}
+  // On the socket that is held; another version of the node that ran before, with the same executors.
+  explicit Running(const Held& held, const Running* before = nullptr, int sockets = 256)
+      : Running(sockets, "127.0.0.1:1", "7", &held, before) {}
+  Running(int sockets, const std::string& listen, const std::string& seed, const Held* held,
+          const Running* before) {
     char folder[] = "/tmp/canvasstage-test-XXXXXX";
     if (mkdtemp(folder) == nullptr) throw std::runtime_error("no folder");
     folder_ = folder;
+    if (before != nullptr) {
+      discovery.address = before->discovery.address;
+      first.address = before->first.address;
+      second.address = before->second.address;
+    }
     write_config(config(sockets, listen, seed, "127.0.0.1:1"));
     if (pipe(out_) != 0) throw std::runtime_error("no pipe");
     pid_ = fork();
@@ -296,6 +338,12 @@
       setenv("NODE_CONFIG", (folder_ + "/config.json").c_str(), 1);
       setenv("NODE_DISCOVERY", discovery.address.c_str(), 1);
       setenv("NODE_CONSOLE", "127.0.0.1:0", 1);
+      if (held != nullptr) {
+        dup2(held->listener.fd(), 3);
+        fcntl(3, F_SETFD, 0);
+        setenv("NODE_INHERITED_FD", "3", 1);
+        setenv("TMPDIR", held->folder.c_str(), 1);
+      }
       execl(CANVASSTAGE_PROGRAM, CANVASSTAGE_PROGRAM, nullptr);
       _exit(127);
     }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -65,7 +65,8 @@
   const TermsInForce terms{Terms()};
   Board board;
   Node* node = &core.node;
-  net::World world{reducer, submissions, launches, terms, board, node};
+  const net::Parting parting;
+  net::World world{reducer, submissions, launches, terms, board, parting, nullptr, node};
   auto submission = std::make_shared<net::Submitted>();
   submission->buffer = submissions.take();
   const std::string job = Running::job("lookup", "id1");
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,528 @@
+// A new version under load: what one process of a node hands to the next.
+#include "net/upgrade.h"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "helpers.h"
+
+namespace canvasstage {
+namespace {
+
+bool starts(const std::string& text, const std::string& with) {
+  return text.compare(0, with.size(), with) == 0;
+}
+
+// --- Without sockets ---
+
+struct ReadingStub : Parcel {};
+
+Core shared_core(int executors) {
+  return Core(executors, 1024, small_settings(), true);
+}
+
+rapidjson::Document parsed(const std::string& json) {
+  rapidjson::Document document;
+  document.Parse(json.c_str());
+  EXPECT_FALSE(document.HasParseError()) << json;
+  return document;
+}
+
+// As over the channel: in words, and read again by another clock.
+MovedJob passed_on(const MovedJob& job, Time then, Time now) {
+  MovedJob result = read_job(parsed(written(job, then)), now);
+  result.submission = job.submission;
+  return result;
+}
+
+TEST(Handover, AnOpenJobGoesOnceItsLaunchIsParked) {
+  Core from = shared_core(2), to = shared_core(2);
+  from.effects.heir = true;
+  from.arrive(5, 2);  // single-use
+  const std::string executor = from.effects.launches[0].address;
+  from.node.launch_started(kNow + 10, 1);
+  from.node.stop(kNow + 20);
+  EXPECT_TRUE(from.effects.handed_jobs.empty());
+  EXPECT_FALSE(from.effects.handed_knowledge.empty());
+  from.node.launch_parked(kNow + 30, 1, std::make_shared<ReadingStub>());
+  ASSERT_EQ(from.effects.handed_jobs.size(), 1u);
+  from.node.client_closed(kNow + 31, 5);
+  EXPECT_EQ(from.node.descriptors_used(), 0);
+  from.node.listener_closed(kNow + 40);
+  EXPECT_FALSE(from.effects.running);
+  EXPECT_TRUE(from.effects.answers.empty());
+
+  constexpr Time kOther = kNow + 777 * kSecond;  // its clock
+  to.node.client_opened(kOther, 9);
+  std::vector<Id> launches;
+  ASSERT_TRUE(
+      to.node.job_taken_over(kOther, 9, passed_on(from.effects.handed_jobs[0], kNow + 30, kOther), launches));
+  ASSERT_EQ(launches.size(), 1u);
+  const Submission& state = to.node.policy().submissions[0];
+  EXPECT_EQ(state.due - kOther, 5 * kSecond - 30);
+  EXPECT_EQ(state.launches[0].began, kOther - 20);
+  EXPECT_TRUE(to.effects.launches.empty());  // it has one
+  to.end(launches[0], Outcome::kSatisfied, kOther + 10, true);
+  ASSERT_EQ(to.effects.answers.size(), 1u);
+  EXPECT_EQ(to.effects.answers[0], std::make_pair(Id{9}, Answer::kSatisfied));
+  to.arrive(10, 0, kOther + 20);
+  EXPECT_EQ(to.effects.launches[0].over, executor == to.effects.launches[0].address ? launches[0] : 0);
+}
+
+// It may have run there: the process that goes on with it may not launch it again.
+TEST(Handover, WhatMayHaveRunIsKnownToTheNextProcess) {
+  Core from = shared_core(2), to = shared_core(2);
+  from.effects.heir = true;
+  from.arrive(5, 2);
+  from.node.stop(kNow + 20);
+  from.node.launch_parked(kNow + 30, 1, std::make_shared<ReadingStub>());
+  to.node.client_opened(kNow, 9);
+  std::vector<Id> launches;
+  to.node.job_taken_over(kNow, 9, passed_on(from.effects.handed_jobs.at(0), kNow + 30, kNow), launches);
+  to.end(launches[0], Outcome::kBroken, kNow + 10);
+  EXPECT_TRUE(to.effects.launches.empty());
+  ASSERT_EQ(to.effects.answers.size(), 1u);
+  EXPECT_EQ(to.effects.answers[0].second, Answer::kAborted);
+}
+
+// An ended launch that may have run counts as well; one that waits for room has nothing pending.
+TEST(Handover, OneThatWaitsForRoomGoesAtOnceWithItsHistory) {
+  Core from = shared_core(1), to = shared_core(2);
+  from.effects.heir = true;
+  from.arrive(5, 1);  // referenced, in its zone
+  from.end(1, Outcome::kBroken, kNow + 10);
+  from.arrive(6, 0);
+  from.arrive(7, 0);  // waits
+  from.node.stop(kNow + 20);
+  std::set<std::string> gone;
+  for (const MovedJob& job : from.effects.handed_jobs) gone.insert(job.id);
+  EXPECT_TRUE(gone.count("id3"));
+  MovedJob job = passed_on(from.effects.handed_jobs.back(), kNow + 20, kNow);
+  to.node.client_opened(kNow, 9);
+  std::vector<Id> launches;
+  EXPECT_TRUE(to.node.job_taken_over(kNow, 9, job, launches));
+  EXPECT_TRUE(launches.empty());
+  EXPECT_EQ(to.effects.launches.size(), 1u);  // there is room here
+}
+
+TEST(Handover, AnIdThatIsOpenIsNotTakenTwice) {
+  Core from = shared_core(1), to = shared_core(1);
+  from.effects.heir = true;
+  from.arrive(5, 0);
+  from.node.stop(kNow + 20);
+  from.node.launch_parked(kNow + 30, 1, std::make_shared<ReadingStub>());
+  to.arrive(8, 0);  // the same id, "id1"
+  to.node.client_opened(kNow, 9);
+  std::vector<Id> launches;
+  EXPECT_FALSE(
+      to.node.job_taken_over(kNow, 9, passed_on(from.effects.handed_jobs.at(0), kNow, kNow), launches));
+  ASSERT_EQ(to.effects.answers.size(), 1u);
+  EXPECT_EQ(to.effects.answers[0], std::make_pair(Id{9}, Answer::kRejected));
+}
+
+// Given up while it is parked: nobody reads from it, and its end is told all the same.
+TEST(Handover, AParkedLaunchThatIsGivenUpEnds) {
+  Core from = shared_core(1);
+  from.effects.heir = true;
+  from.arrive(5, 0);
+  from.node.stop(kNow + 20);
+  from.node.client_closed(kNow + 25, 5);
+  from.node.launch_parked(kNow + 30, 1, std::make_shared<ReadingStub>());
+  from.run_until(kNow + kSecond / 100);
+  EXPECT_EQ(from.node.descriptors_used(), 0);
+  EXPECT_TRUE(from.effects.handed_jobs.empty());
+}
+
+TEST(Handover, FreeConnectionsGoAlong) {
+  Core from = shared_core(1), to = shared_core(1);
+  from.effects.heir = true;
+  from.arrive(5, 0);
+  from.end(1, Outcome::kSatisfied, kNow + 10, true);
+  from.node.stop(kNow + 20);
+  ASSERT_EQ(from.effects.handed_links.size(), 1u);
+  const auto& link = from.effects.handed_links[0];
+  EXPECT_EQ(link.executor, "s-0");
+  EXPECT_EQ(link.since, kNow + 10);
+  const Id id = to.node.link_taken_over(kNow, link.executor, link.address, kNow - 10);
+  ASSERT_NE(id, 0u);
+  EXPECT_EQ(to.node.policy().executors[0].connections, 1);
+  to.arrive(6, 0);
+  EXPECT_EQ(to.effects.launches.at(0).over, id);
+  EXPECT_EQ(to.node.link_taken_over(kNow, "s-9", "host:9", kNow), 0u);  // not listed here
+  EXPECT_EQ(to.node.link_taken_over(kNow, "s-0", "host:9", kNow), 0u);  // at another address by now
+}
+
+TEST(Handover, WhatWasLearnedGoesAlong) {
+  Core from = shared_core(2), to = shared_core(2);
+  from.effects.heir = true;
+  Time now = kNow;
+  for (Id launch = 1; launch <= 20; ++launch) {
+    from.arrive(100 + launch, 0, now);
+    from.node.launch_started(now + 10, launch);
+    const bool slow = from.effects.launches.back().address == "host:0";
+    from.end(launch, Outcome::kSatisfied, now + (slow ? 3000 : 1000), true);
+    now += 4000;
+  }
+  from.node.stop(now);
+  to.node.knowledge_taken_over(kNow, parsed(from.effects.handed_knowledge));
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_NEAR(to.node.policy().speed(to.node.policy().executors[i]),
+                from.node.policy().speed(from.node.policy().executors[i]), 1e-9);
+  }
+  EXPECT_EQ(to.node.policy().work_of(0), from.node.policy().work_of(0));
+  EXPECT_NE(to.node.policy().work_of(0), 1.0);
+  for (const char* const broken : {"{}", "[]", R"({"executors":5})", R"({"executors":[{"id":5}]})"})
+    EXPECT_THROW(to.node.knowledge_taken_over(kNow, parsed(broken)), BadInput) << broken;
+}
+
+// What the process before sent to a cold executor counts for both: rule 4 holds for the node.
+TEST(Handover, WhatWasSentToAColdExecutorCounts) {
+  Core from = shared_core(0), to = shared_core(0);
+  for (Core* core : {&from, &to}) {
+    core->node.executor_listed(kNow, "s-0", "host:0", "a", "m", 0, Standing::kReady, kNow - 5 * kSecond);
+    core->node.roster_arrived(kNow, RosterForm::kWhole, 2);
+  }
+  from.effects.heir = true;
+  from.arrive(5, 0);
+  ASSERT_EQ(from.effects.launches.size(), 1u);
+  from.node.stop(kNow + 20);
+  to.node.knowledge_taken_over(kNow + 20, parsed(from.effects.handed_knowledge));
+  EXPECT_EQ(to.node.policy().executors[0].cold_sends.size(), 1u);
+}
+
+// A job's use case may be worded otherwise in the settings that the next process reads.
+TEST(Handover, AJobKeepsTheUseCaseThatItCameUnder) {
+  Core from = shared_core(1);
+  from.effects.heir = true;
+  from.arrive(5, 2);
+  from.node.stop(kNow);
+  from.node.launch_parked(kNow, 1, std::make_shared<ReadingStub>());
+  Settings settings = small_settings();
+  settings.use_cases[2].effect = Effect::kReplayable;
+  Core to(2, 1024, settings, true);
+  to.node.client_opened(kNow, 9);
+  std::vector<Id> launches;
+  to.node.job_taken_over(kNow, 9, passed_on(from.effects.handed_jobs.at(0), kNow, kNow), launches);
+  to.end(launches.at(0), Outcome::kBroken, kNow + 10);
+  EXPECT_TRUE(to.effects.launches.empty());  // single-use still
+  EXPECT_EQ(to.effects.answers.size(), 1u);
+  EXPECT_EQ(to.node.terms().use_case_named("charge"), 2);  // for new ones nothing changed
+}
+
+TEST(Handover, EveryFieldOfAJobIsChecked) {
+  Core from = shared_core(1);
+  from.effects.heir = true;
+  from.arrive(5, 2);
+  from.node.stop(kNow);
+  from.node.launch_parked(kNow, 1, std::make_shared<ReadingStub>());
+  const std::string words = written(from.effects.handed_jobs.at(0), kNow);
+  rapidjson::Document whole = parsed(words);
+  for (auto field = whole.MemberBegin(); field != whole.MemberEnd(); ++field) {
+    rapidjson::Document part = parsed(words);
+    part.RemoveMember(field->name.GetString());
+    EXPECT_THROW(read_job(part, kNow), BadInput) << field->name.GetString();
+    part = parsed(words);
+    part[field->name.GetString()].SetNull();
+    EXPECT_THROW(read_job(part, kNow), BadInput) << field->name.GetString();
+  }
+  const rapidjson::Value& launch = whole["launches"][0];
+  for (auto field = launch.MemberBegin(); field != launch.MemberEnd(); ++field) {
+    rapidjson::Document part = parsed(words);
+    part["launches"][0].RemoveMember(field->name.GetString());
+    EXPECT_THROW(read_job(part, kNow), BadInput) << field->name.GetString();
+  }
+}
+
+// --- The channel ---
+
+TEST(ProgramUpgrade, AMessageThatIsCutShortIsNone) {
+  int pair[2];
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+  net::Socket one(pair[0]), other(pair[1]);
+  net::Upgrade::Message sent, came;
+  sent.words = "words";
+  sent.bytes = std::string(100000, 'b');
+  sent.sockets.push_back(net::new_socket());
+  sent.sockets.push_back(net::new_socket());
+  std::thread sender([&] { EXPECT_TRUE(net::send_message(one, sent)); });
+  EXPECT_TRUE(net::receive_message(other, came));
+  sender.join();
+  EXPECT_EQ(came.words, sent.words);
+  EXPECT_EQ(came.bytes, sent.bytes);
+  EXPECT_EQ(came.sockets.size(), 2u);
+  const std::uint32_t sizes[3] = {5, 100, 0};
+  EXPECT_TRUE(one.write({reinterpret_cast<const char*>(sizes), sizeof sizes}, "word"));
+  one = net::Socket();
+  EXPECT_FALSE(net::receive_message(other, came));
+}
+
+TEST(ProgramUpgrade, SizesThatCannotBeAreRefused) {
+  for (const std::uint32_t large : {std::uint32_t{17 * 1024 * 1024}, UINT32_MAX}) {
+    int pair[2];
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+    const net::Socket one(pair[0]), other(pair[1]);
+    const std::uint32_t sizes[3] = {large, 0, 0};
+    EXPECT_TRUE(one.write({reinterpret_cast<const char*>(sizes), sizeof sizes}, {}));
+    net::Upgrade::Message came;
+    EXPECT_FALSE(net::receive_message(other, came));
+  }
+}
+
+// --- Two processes ---
+
+Peer told_of(Running& run, const std::string& entries) {
+  Peer watch = run.accept_watch(entries);
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  return watch;
+}
+
+// The new one takes its list from the stand-in that the old one has.
+Peer told_of(Running& run, Running& with, const std::string& entries) {
+  Peer watch = with.accept_watch(entries);
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  return watch;
+}
+
+Peer client_of(const Held& held) {
+  return Peer::to(held.listener.address());
+}
+
+std::string only_first(const Running& run) {
+  return Running::entry("s-1", run.first.address);
+}
+
+TEST(ProgramUpgrade, AnOpenJobIsAnsweredByTheNewProcess) {
+  const Held held;
+  Running old(held);
+  Peer watch = told_of(old, only_first(old));
+  Peer client = client_of(held);
+  client.write(Running::job("charge", "id1", "9000m"));
+  Peer executor = old.first.accept();
+  executor.read_message();
+  executor.begin_lines();
+  executor.write_line(R"({"state":"started"})");
+  // Half a line, and half a chunk.
+  executor.write(
+      "40\r\n"
+      R"({"state":"do)");
+  Running fresh(held, &old);
+  Peer second_watch = told_of(fresh, old, only_first(old));
+  EXPECT_TRUE(old.wait_for_log("a new process is there"));
+  old.stop();
+  EXPECT_EQ(old.wait(), 0);  // long before the job's time is over
+  const std::string rest = R"(ne","result":")";
+  const std::string line =
+      R"({"state":"do)" + rest + std::string(0x40 - 1 - 12 - rest.size() - 2, 'r') + "\"}\n";
+  executor.write(line.substr(12) + "\r\n0\r\n\r\n");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+  EXPECT_TRUE(old.first.nobody_waits());
+  // Both connections serve on.
+  client.write(Running::job("lookup", "id2"));
+  EXPECT_NE(executor.read_message().find("id2"), std::string::npos);
+  executor.finish_job("again");
+  EXPECT_NE(client.read_message().find("again"), std::string::npos);
+}
+
+// Before the head of the answer, and within it.
+TEST(ProgramUpgrade, AnAnswerMayBeCutAnywhere) {
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n{\"state\":\"started\"}\n\r\n"
+      "1f\r\n{\"state\":\"done\",\"result\":\"ok\"}\n\r\n0\r\n\r\n";
+  for (const std::size_t cut :
+       {std::size_t{0}, std::size_t{1}, std::size_t{20}, std::size_t{45}, std::size_t{48}, std::size_t{52},
+        std::size_t{72}, std::size_t{75}, std::size_t{90}}) {
+    const Held held;
+    Running old(held);
+    Peer watch = told_of(old, only_first(old));
+    Peer client = client_of(held);
+    client.write(Running::job("charge", "id1"));
+    Peer executor = old.first.accept();
+    executor.read_message();
+    executor.write(answer.substr(0, cut));
+    Running fresh(held, &old);
+    Peer second_watch = told_of(fresh, old, only_first(old));
+    EXPECT_TRUE(old.wait_for_log("a new process is there"));
+    old.stop();
+    EXPECT_EQ(old.wait(), 0) << cut;
+    executor.write(answer.substr(cut));
+    EXPECT_EQ(client.read_message().substr(0, 13), "HTTP/1.1 200 ") << cut;
+  }
+}
+
+TEST(ProgramUpgrade, AKeptConnectionStaysAndARequestOnItsWayIsServed) {
+  const Held held;
+  Running old(held);
+  Peer watch = told_of(old, only_first(old));
+  Peer kept = client_of(held);
+  kept.write(Running::job("lookup", "id1"));
+  Peer executor = old.first.accept();
+  executor.read_message();
+  executor.finish_job("one");
+  kept.read_message();
+  Peer half = client_of(held);
+  const std::string job = Running::job("lookup", "id2");
+  half.write(job.substr(0, 60));
+  Running fresh(held, &old);
+  Peer second_watch = told_of(fresh, old, only_first(old));
+  EXPECT_TRUE(old.wait_for_log("a new process is there"));
+  old.stop();
+  EXPECT_TRUE(old.wait_for_log("reason=moved"));
+  kept.write(Running::job("lookup", "id3"));
+  EXPECT_NE(executor.read_message().find("id3"), std::string::npos);
+  half.write(job.substr(60));
+  Peer other = old.first.accept();
+  EXPECT_NE(other.read_message().find("id2"), std::string::npos);
+  other.finish_job("two");
+  EXPECT_NE(half.read_message().find("two"), std::string::npos);
+  executor.finish_job("three");
+  EXPECT_NE(kept.read_message().find("three"), std::string::npos);
+  EXPECT_EQ(old.wait(), 0);
+}
+
+TEST(ProgramUpgrade, LeavingsInTheFolderDoNoHarm) {
+  const Held held;
+  const std::string path = held.folder + "/canvasstage.sock";
+  std::ofstream(path) << "no socket";
+  std::ofstream(path + ".new") << "nor this";
+  {
+    Running first(held);
+    Peer watch = told_of(first, only_first(first));
+    first.stop(SIGKILL);  // leaves its socket
+    first.wait();
+  }
+  Running second(held);
+  Peer watch = told_of(second, only_first(second));
+  Peer client = client_of(held);
+  client.write(Running::job("lookup", "id1"));
+  Peer executor = second.first.accept();
+  executor.read_message();
+  executor.finish_job("served");
+  EXPECT_NE(client.read_message().find("served"), std::string::npos);
+}
+
+// The folder is not there: the node runs all the same, and ends as it always did.
+TEST(ProgramUpgrade, WithoutAFolderTheOldProcessServesToTheEnd) {
+  Held held;
+  const std::string folder = std::exchange(held.folder, "/nowhere");
+  Running old(held);
+  Peer watch = told_of(old, only_first(old));
+  Peer client = client_of(held);
+  client.write(Running::job("lookup", "id1"));
+  Peer executor = old.first.accept();
+  executor.read_message();
+  old.stop();
+  EXPECT_TRUE(old.wait_for_log("told to stop"));
+  Peer late = client_of(held);  // for whoever comes next
+  executor.finish_job("one");
+  const std::string answer = client.read_to_end();
+  EXPECT_NE(answer.find("one"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos);
+  client.close();
+  EXPECT_EQ(old.wait(), 0);
+  held.folder = folder;
+}
+
+TEST(ProgramUpgrade, ADescriptorThatIsNoListenerEndsTheStart) {
+  Held held;
+  held.listener = net::new_socket();
+  Running run(held);
+  EXPECT_EQ(run.wait(), 1);
+  EXPECT_NE(run.output().find("NODE_INHERITED_FD"), std::string::npos) << run.output();
+}
+
+// Clients that never pause, and three versions one after the other: each id gets one answer, no connection is
+// refused or reset, and every launch that an executor saw belongs to one answer.
+TEST(ProgramUpgrade, ClientsThatNeverPauseNoticeNothing) {
+  const Held held;
+  Running first(held);
+  std::mutex mutex;
+  std::multiset<std::string> launched;
+  std::atomic<bool> done{false};
+  std::vector<std::thread> servers;
+  std::thread acceptor([&] {
+    while (!done) {
+      try {
+        auto peer = std::make_shared<Peer>(first.first.accept());
+        servers.emplace_back([&, peer] {
+          for (;;) {
+            std::string job;
+            try {
+              job = peer->read_message();
+            } catch (const std::runtime_error&) {
+              return;
+            }
+            const std::size_t at = job.find("X-Correlation-Id: ");
+            if (at == std::string::npos) return;
+            const std::string id = job.substr(at + 18, job.find('\r', at) - at - 18);
+            {
+              const std::lock_guard lock(mutex);
+              launched.insert(id);
+            }
+            peer->begin_lines();
+            peer->write_line(R"({"state":"started"})");
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            peer->write_line(R"({"state":"done","result":")" + id + "\"}");
+            peer->end_lines();
+          }
+        });
+      } catch (const std::runtime_error&) {
+      }
+    }
+  });
+  Peer watch = told_of(first, only_first(first));
+  std::atomic<int> answered{0}, wrong{0};
+  std::vector<std::thread> clients;
+  for (int c = 0; c < 6; ++c)
+    clients.emplace_back([&, c] {
+      try {
+        Peer client = client_of(held);
+        for (int i = 0; !done; ++i) {
+          const std::string id = "c" + std::to_string(c) + "-" + std::to_string(i);
+          client.write(Running::job("charge", id));
+          const std::string answer = client.read_message();
+          if (answer.find("\r\n\r\n" + id) == std::string::npos) {
+            ++wrong;
+            ADD_FAILURE() << id << ": " << answer;
+            return;
+          }
+          ++answered;
+          if (answer.find("Connection: close") != std::string::npos) client = client_of(held);
+        }
+      } catch (const std::runtime_error& failure) {
+        ADD_FAILURE() << failure.what();
+      }
+    });
+  std::vector<std::unique_ptr<Running>> versions;
+  Running* now = &first;
+  for (int i = 0; i < 2; ++i) {
+    const int before = answered;
+    while (answered < before + 20) std::this_thread::yield();
+    versions.push_back(std::make_unique<Running>(held, &first));
+    Peer next_watch = told_of(*versions.back(), first, only_first(first));
+    EXPECT_TRUE(now->wait_for_log("a new process is there"));
+    now->stop();
+    EXPECT_EQ(now->wait(), 0);
+    now = versions.back().get();
+    watch = std::move(next_watch);
+  }
+  const int before = answered;
+  while (answered < before + 20) std::this_thread::yield();
+  done = true;
+  for (std::thread& client : clients) client.join();
+  now->stop(SIGKILL);
+  now->wait();
+  Peer::to(first.first.address);  // wakes the acceptor
+  acceptor.join();
+  for (std::thread& server : servers) server.join();
+  EXPECT_EQ(wrong, 0);
+  EXPECT_EQ(launched.size(), static_cast<std::size_t>(answered));
+  EXPECT_EQ(std::set<std::string>(launched.begin(), launched.end()).size(), launched.size());
+}
+
+}  // namespace
+}  // namespace canvasstage
