--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -34,7 +34,9 @@
 // Descriptors that are no connection of the node's: standard streams, listener, discovery, the log; and those
 // that a burst takes while the reducer still makes room.
 int Node::usable(Platform platform) {
-  const int descriptors = platform.descriptors - platform.console;
+  // The handover's event, its socket, the processes before and after, and one descriptor on its way.
+  constexpr int kUpgrade = 5;
+  const int descriptors = platform.descriptors - platform.console - (platform.shared_listener ? kUpgrade : 0);
   constexpr int kOwn = 8;
   constexpr int kBurstPart = 32;
   return std::max(4, descriptors - kOwn - descriptors / kBurstPart);
--- /dev/null
+++ b/tests/configuration_test.cpp
@@ -0,0 +1,185 @@
+// The configuration as a whole, and new settings while the program runs.
+#include "app/configuration.h"
+
+#include <gtest/gtest.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include "helpers.h"
+
+namespace canvasstage {
+namespace {
+
+const std::string kWhole = R"({"name":"n0","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500",
+  "console":"127.0.0.1:9800","seed":"8c1f30d27a5be964","limits":{"memory_mb":48,"sockets":384},
+  "known":{"generation":1,"reset":true,"instances":[]},
+  "settings":{"replicasOfMe":2,"caps":{"mostLaunches":5},"guarantees":{"drainGrace":1.5},
+    "useCases":[{"name":"lookup","agreedTime":0.25,"hardLimit":5,"semantics":"free"}]}})";
+
+std::string wrong_with(const std::string& text) {
+  try {
+    decode_configuration(text);
+  } catch (const BadInput& input) {
+    return input.what();
+  }
+  return "";
+}
+
+TEST(Configuration, OneThatIsCutAnywhereIsNone) {
+  ASSERT_EQ(wrong_with(kWhole), "");
+  for (std::size_t cut = 0; cut < kWhole.size(); ++cut)
+    EXPECT_NE(wrong_with(kWhole.substr(0, cut)), "") << kWhole.substr(0, cut);
+}
+
+TEST(Configuration, AMissingKeyIsNamed) {
+  const std::vector<std::vector<const char*>> paths = {{"name"},
+                                                       {"listen"},
+                                                       {"discovery"},
+                                                       {"seed"},
+                                                       {"limits"},
+                                                       {"limits", "memory_mb"},
+                                                       {"limits", "sockets"},
+                                                       {"settings"},
+                                                       {"settings", "replicasOfMe"},
+                                                       {"settings", "caps"},
+                                                       {"settings", "caps", "mostLaunches"},
+                                                       {"settings", "guarantees"},
+                                                       {"settings", "useCases"},
+                                                       {"settings", "useCases", "name"},
+                                                       {"settings", "useCases", "agreedTime"},
+                                                       {"settings", "useCases", "hardLimit"},
+                                                       {"settings", "useCases", "semantics"}};
+  for (const std::vector<const char*>& path : paths) {
+    rapidjson::Document file;
+    file.Parse(kWhole.c_str());
+    rapidjson::Value* at = &file;
+    for (std::size_t i = 0; i + 1 < path.size(); ++i) {
+      at = &(*at)[path[i]];
+      if (at->IsArray()) at = &(*at)[0];
+    }
+    at->RemoveMember(path.back());
+    rapidjson::StringBuffer out;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(out);
+    file.Accept(writer);
+    EXPECT_NE(wrong_with(out.GetString()).find(path.back()), std::string::npos) << path.back();
+  }
+}
+
+TEST(Configuration, NumbersThatAreNoneAreRefused) {
+  const auto with = [](const std::string& from, const std::string& to) {
+    std::string text = kWhole;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  EXPECT_NE(wrong_with(with("\"hardLimit\":5", "\"hardLimit\":1e400")), "");
+  EXPECT_NE(wrong_with(with("\"hardLimit\":5", "\"hardLimit\":NaN")), "");
+  EXPECT_NE(wrong_with(with("\"hardLimit\":5", "\"hardLimit\":-5")).find("hardLimit"), std::string::npos);
+  EXPECT_NE(wrong_with(with("127.0.0.1:9800", "9800")).find("console"), std::string::npos);
+  EXPECT_NE(wrong_with(with("\"sockets\":384", "\"sockets\":0")).find("sockets"), std::string::npos);
+}
+
+// --- While it runs ---
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+std::string figure(const Running& run, const std::string& name) {
+  Peer caller = Peer::to(run.console);
+  const std::string answer = caller.write("GET /_vars HTTP/1.1\r\n\r\n").read_to_end();
+  const std::size_t at = answer.find("\n" + name + " ");
+  return at == std::string::npos
+             ? ""
+             : answer.substr(at + name.size() + 2, answer.find('\n', at + 1) - at - name.size() - 2);
+}
+
+bool shows(const Running& run, const std::string& name, const std::string& value) {
+  for (int i = 0; i < 100; ++i) {
+    if (figure(run, name) == value) return true;
+    usleep(20000);
+  }
+  return false;
+}
+
+std::string status_of(const Running& run, const std::string& use_case, const std::string& id) {
+  return Peer::to(run.address).write(Running::job(use_case, id, "100m")).read_message().substr(9, 3);
+}
+
+TEST(ProgramNewSettings, ClassesAppearVanishAndGrowStricterUnderWork) {
+  Running run;
+  Peer watch = run.accept_watch(Running::entry("s-1", run.first.address));
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  Peer client = run.client();
+  client.write(Running::job("lookup", "id1"));
+  Peer executor = run.first.accept();
+  executor.read_message();
+  // Lookups are single-use from now on, charges are gone, renders are new.
+  std::string file = run.config(256, "127.0.0.1:0", "7", run.discovery.address);
+  file = replaced(file, R"("hardLimit":5,"semantics":"free")", R"("hardLimit":5,"semantics":"single_shot")");
+  file = replaced(file, R"({"name":"charge")", R"({"name":"render")");
+  run.reload(file);
+  EXPECT_TRUE(shows(run, "node_sighup_applied_total", "1"));
+  EXPECT_EQ(status_of(run, "charge", "id2"), "404");
+  EXPECT_EQ(status_of(run, "render", "id3"), "503");  // known, and its time is over
+  executor.close();                                   // the first may have run, and is replayable as it came
+  Peer again = run.first.accept();
+  EXPECT_NE(again.read_message().find("id1"), std::string::npos);
+  again.finish_job("served");
+  EXPECT_NE(client.read_message().find("served"), std::string::npos);
+  client.write(Running::job("lookup", "id4"));
+  again.read_message();
+  again.close();
+  EXPECT_EQ(client.read_message().substr(9, 3), "502");  // single-use by now
+  EXPECT_TRUE(shows(run, "node_results_total{service=\"charge\",disposition=\"aborted\"}", "0"));
+}
+
+TEST(ProgramNewSettings, NothingIsTakenFromABrokenFile) {
+  Running run;
+  Peer watch = run.accept_watch(Running::entry("s-1", run.first.address));
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  Listener moved;
+  std::string file = run.config(256, "127.0.0.1:0", "7", moved.address);
+  file = replaced(file, R"({"name":"charge")", R"({"name":"render")");
+  const std::vector<std::pair<std::string, std::string>> broken = {
+      {"", "NODE_CONFIG"},
+      {file.substr(0, file.size() / 2), "NODE_CONFIG"},
+      {replaced(file, R"("agreedTime":3)", R"("agreedTime":0)"), "agreedTime"},
+      {replaced(file, R"("agreedTime":3,)", ""), "agreedTime"},
+      {replaced(file, R"("mostLaunches":5)", R"("mostLaunches":"5")"), "mostLaunches"},
+      {replaced(file, R"({"name":"render")", R"({"name":"lookup")"), "useCases.name"}};
+  int rejected = 0;
+  for (const auto& [text, field] : broken) {
+    run.reload(text);
+    EXPECT_TRUE(run.wait_for_log("reload: nothing changes: " + field)) << field;
+    EXPECT_TRUE(shows(run, "node_sighup_rejected_total", std::to_string(++rejected)));
+  }
+  EXPECT_EQ(figure(run, "node_sighup_applied_total"), "0");
+  EXPECT_EQ(status_of(run, "render", "id1"), "404");
+  EXPECT_TRUE(moved.nobody_waits());
+}
+
+// A crowd on the first address takes all that clients may have, and nothing of the second one's room.
+TEST(ProgramConsole, ACrowdOnTheFirstAddressKeepsNoCallerWaiting) {
+  Running run(96);
+  Peer watch = run.accept_watch(Running::entry("s-1", run.first.address));
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  std::vector<Peer> crowd;
+  for (int i = 0; i < 300; ++i) {
+    crowd.push_back(run.client());
+    if (i % 3 == 0) crowd.back().write("POST /loo");
+    if (i % 20 != 0) continue;
+    const auto from = std::chrono::steady_clock::now();
+    EXPECT_NE(figure(run, "node_outstanding"), "");
+    EXPECT_LT(std::chrono::steady_clock::now() - from, std::chrono::seconds(1));
+  }
+  Peer client = run.client();
+  client.write(Running::job("lookup", "id1"));
+  Peer executor = run.first.accept();
+  executor.read_message();
+  executor.finish_job("served");
+  EXPECT_NE(client.read_message().find("served"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace canvasstage
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -238,6 +238,24 @@
   }
 }
 
+// Two processes may not hold more than one may: each keeps to its part, and what is free goes first.
+TEST(Handover, BesideAnotherProcessANodeKeepsToItsPart) {
+  Core core(4, 64, small_settings(), true);
+  for (Id client = 1; client <= 8; ++client) core.arrive(client, 0);
+  for (Id launch = 1; launch <= core.effects.launches.size(); ++launch)
+    core.end(launch, Outcome::kSatisfied, kNow + 10, true);
+  ASSERT_GT(core.node.descriptors_used(), 8);
+  core.node.limits_shared(kNow + 20, 8);  // 32, of which 16 are its own or kept for what comes
+  EXPECT_LE(core.node.descriptors_used(), 18);
+  core.node.client_opened(kNow + 30, 20);
+  core.node.client_opened(kNow + 31, 21);
+  EXPECT_FALSE(core.effects.closed.empty());
+  const std::size_t closed = core.effects.closed.size();
+  core.node.limits_shared(kNow + 40, 16);
+  core.node.client_opened(kNow + 50, 22);
+  EXPECT_EQ(core.effects.closed.size(), closed);
+}
+
 // --- The channel ---
 
 TEST(ProgramUpgrade, AMessageThatIsCutShortIsNone) {
