The laboratory's emulator: nodes in virtual time, rules checked apart, experiments as tables and plots

lab/emulator holds the real core/Node behind a model of executors, network, discovery and clients; lab/experiment reads an experiment from TOML, runs it over seeds and gives a table, CSV and SVG. Theory agrees within three standard errors: one queue with one and with four servers, random choice, the best of 2 and 3 in a fleet of 400 (a twentieth beside that); Little's law within 2% for every policy. Each of the four rules is found broken by a node broken on purpose.

--- a/Makefile
+++ b/Makefile
@@ -1,19 +1,25 @@
 JOBS ?= 4
-SOURCES = $(wildcard src/*.h src/*.cpp src/*/*.h src/*/*.cpp tests/*.h tests/*.cpp)
+SOURCES = $(wildcard src/*.h src/*.cpp src/*/*.h src/*/*.cpp lab/*.cpp lab/*/*.h lab/*/*.cpp tests/*.h tests/*.cpp)
 
-.PHONY: build test lint run clean
+.PHONY: build lab test lint run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
 	cmake --build build -j$(JOBS)
 
+# The laboratory: build-lab/canvasstage-lab
+lab:
+	cmake -B build-lab -DCMAKE_BUILD_TYPE=Release -DCANVASSTAGE_LAB=ON
+	cmake --build build-lab -j$(JOBS) --target canvasstage-lab
+
 # All tests under the address and undefined-behaviour sanitizers, then those with threads under the thread sanitizer.
 test:
 	cmake -B build-ci -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCANVASSTAGE_TESTS=ON \
 	  -DCANVASSTAGE_SANITIZE=address,undefined
 	cmake --build build-ci -j$(JOBS)
 	ctest --test-dir build-ci --output-on-failure -j$(JOBS)
-	cmake -B build-tsan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCANVASSTAGE_TESTS=ON -DCANVASSTAGE_SANITIZE=thread
+	cmake -B build-tsan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCANVASSTAGE_TESTS=ON -DCANVASSTAGE_LAB=OFF \
+	  -DCANVASSTAGE_SANITIZE=thread
 	cmake --build build-tsan -j$(JOBS)
 	TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan --output-on-failure -j$(JOBS) -R '^Program'
 
--- /dev/null
+++ b/lab/experiment/read.cpp
@@ -0,0 +1,201 @@
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+#include <type_traits>
+
+#include "experiment/experiment.h"
+#include "experiment/fields.h"
+
+namespace canvasstage::lab {
+namespace {
+
+class Reader {
+ public:
+  explicit Reader(std::string file) : file_(std::move(file)) {}
+
+  [[noreturn]] void bad(const std::string& field, const std::string& what) const {
+    throw BadExperiment(file_ + ": " + field + ": " + what);
+  }
+
+  const toml::table& table(const toml::table& from, const std::string& key) const {
+    const toml::node* const node = from.get(key);
+    if (node == nullptr || !node->is_table()) bad(key, "a table is needed");
+    return *node->as_table();
+  }
+
+  template <class Value>
+  void take(const toml::node& node, const std::string& field, Value& into) const {
+    if constexpr (std::is_same_v<Value, std::string>) {
+      if (!node.is_string()) bad(field, "a string is needed");
+      into = *node.value<std::string>();
+    } else if constexpr (std::is_same_v<Value, bool>) {
+      if (!node.is_boolean()) bad(field, "true or false is needed");
+      into = *node.value<bool>();
+    } else if constexpr (std::is_same_v<Value, double>) {
+      if (!node.is_number()) bad(field, "a number is needed");
+      into = *node.value<double>();
+      if (!std::isfinite(into)) bad(field, "a finite number is needed");
+    } else {
+      if (!node.is_integer()) bad(field, "a whole number is needed");
+      const std::int64_t value = *node.value<std::int64_t>();
+      if (value < -1000000000 || value > 1000000000) bad(field, "out of range");
+      into = static_cast<Value>(value);
+    }
+  }
+
+  // Every key has to be one of the fields; `extra` are read by others.
+  template <class Of>
+  void fields(const toml::table& from, const std::string& at, Of& into,
+              const std::vector<std::string>& extra = {}) const {
+    for (const auto& [key, node] : from) {
+      const std::string name(key.str());
+      if (std::find(extra.begin(), extra.end(), name) != extra.end()) continue;
+      bool found = false;
+      each_field(into, [&, &value = node](const char* field, auto& member) {
+        if (name != field) return;
+        found = true;
+        take(value, at + name, member);
+      });
+      if (!found) bad(at + name, "not known");
+    }
+  }
+
+  const toml::array* list(const toml::table& from, const std::string& key, const std::string& at) const {
+    const toml::node* const node = from.get(key);
+    if (node == nullptr) return nullptr;
+    if (!node->is_array()) bad(at + key, "a list is needed");
+    return node->as_array();
+  }
+
+  template <class Choice>
+  Choice one_of(const toml::table& from, const std::string& key, const std::string& at, Choice otherwise,
+                const std::vector<std::pair<std::string, Choice>>& choices) const {
+    const toml::node* const node = from.get(key);
+    if (node == nullptr) return otherwise;
+    std::string word;
+    take(*node, at + key, word);
+    std::string known;
+    for (const auto& [name, choice] : choices) {
+      if (name == word) return choice;
+      known += (known.empty() ? "" : ", ") + name;
+    }
+    bad(at + key, word + " is none of " + known);
+  }
+
+ private:
+  const std::string file_;
+};
+
+Scenario read_scenario(const Reader& reader, const toml::table& from) {
+  Scenario scenario;
+  reader.fields(from, "scenario.", scenario, {"class", "fault"});
+  if (const toml::array* const classes = reader.list(from, "class", "scenario.")) {
+    scenario.classes.clear();
+    for (const toml::node& node : *classes) {
+      const std::string at = "scenario.class.";
+      if (!node.is_table()) reader.bad("scenario.class", "tables are needed");
+      const toml::table& one = *node.as_table();
+      WorkClass terms;
+      reader.fields(one, at, terms, {"effect", "group"});
+      terms.effect = reader.one_of<Effect>(one, "effect", at, Effect::kReplayable,
+                                           {{"replayable", Effect::kReplayable},
+                                            {"referenced", Effect::kReferenced},
+                                            {"single_use", Effect::kSingleUse}});
+      terms.group =
+          reader.one_of<Group>(one, "group", at, Group::kAll,
+                               {{"all", Group::kAll}, {"zone", Group::kZone}, {"cell", Group::kCell}});
+      scenario.classes.push_back(terms);
+    }
+  }
+  if (const toml::array* const faults = reader.list(from, "fault", "scenario.")) {
+    for (const toml::node& node : *faults) {
+      const std::string at = "scenario.fault.";
+      if (!node.is_table()) reader.bad("scenario.fault", "tables are needed");
+      const toml::table& one = *node.as_table();
+      Fault fault;
+      reader.fields(one, at, fault, {"kind"});
+      if (one.get("kind") == nullptr) reader.bad(at + "kind", "is missing");
+      using Kind = Fault::Kind;
+      fault.kind = reader.one_of<Kind>(one, "kind", at, Kind::kCrash,
+                                       {{"crash", Kind::kCrash},
+                                        {"vanish", Kind::kVanish},
+                                        {"hang", Kind::kHang},
+                                        {"slow", Kind::kSlow},
+                                        {"fail", Kind::kFail},
+                                        {"drain", Kind::kDrain},
+                                        {"partition", Kind::kPartition},
+                                        {"loss", Kind::kLoss},
+                                        {"discovery", Kind::kDiscovery},
+                                        {"burst", Kind::kBurst}});
+      scenario.faults.push_back(fault);
+    }
+  }
+  return scenario;
+}
+
+}  // namespace
+
+Experiment read_experiment(const std::string& text, const std::string& file) {
+  // A sweep that would not end within a day is a slip.
+  constexpr std::size_t kMostRuns = 2000;
+  const Reader reader(file);
+  toml::table root;
+  try {
+    root = toml::parse(text, file);
+  } catch (const toml::parse_error& error) {
+    std::ostringstream at;
+    at << error.source().begin;
+    throw BadExperiment(file + ": " + at.str() + ": " + std::string(error.description()));
+  }
+  for (const auto& [key, node] : root)
+    if (const std::string_view name = key.str(); name != "name" && name != "scenario" && name != "sweep")
+      reader.bad(std::string(name), "not known");
+  Experiment result;
+  if (root.get("name") == nullptr) reader.bad("name", "is missing");
+  reader.take(*root.get("name"), "name", result.name);
+  if (result.name.empty() ||
+      result.name.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_") != std::string::npos)
+    reader.bad("name", "small letters, digits, - and _ are needed: files are named after it");
+  result.scenario = read_scenario(reader, reader.table(root, "scenario"));
+  const toml::table& sweep = reader.table(root, "sweep");
+  reader.fields(sweep, "sweep.", result, {"values", "policies", "measures"});
+  if (const toml::array* const values = reader.list(sweep, "values", "sweep."))
+    for (const toml::node& value : *values) reader.take(value, "sweep.values", result.values.emplace_back());
+  const auto words = [&](const char* key, std::vector<std::string>& into) {
+    if (const toml::array* const list = reader.list(sweep, key, "sweep."))
+      for (const toml::node& word : *list)
+        reader.take(word, std::string("sweep.") + key, into.emplace_back());
+  };
+  words("policies", result.policies);
+  words("measures", result.measures);
+  if (result.policies.empty()) result.policies.push_back(result.scenario.policy);
+  if (result.measures.empty()) result.measures = {"service", "latency_p99"};
+  for (const std::string& measure : result.measures) {
+    bool known = false;
+    for (const Measure& one : measures()) known = known || one.name == measure;
+    if (!known) reader.bad("sweep.measures", measure + " is not known");
+  }
+  if (result.field.empty() != result.values.empty())
+    reader.bad("sweep.values", "a field and its values go together");
+  if (result.field.empty()) result.values = {0};
+  if (result.seeds < 1 ||
+      result.values.size() * result.policies.size() * static_cast<std::size_t>(result.seeds) > kMostRuns)
+    reader.bad("sweep.seeds", "between 1 and " + std::to_string(kMostRuns) + " runs in all are needed");
+  // Each scenario that will be run, before any is, and the one that they come from.
+  try {
+    result.scenario.check();
+  } catch (const BadScenario& wrong) {
+    throw BadExperiment(file + ": scenario." + wrong.what());
+  }
+  for (const std::string& policy : result.policies)
+    for (const double value : result.values) try {
+        scenario_of(result, policy, value).check();
+      } catch (const BadScenario& wrong) {
+        throw BadExperiment(file + ": scenario." + wrong.what());
+      }
+  return result;
+}
+
+}  // namespace canvasstage::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,78 @@
+// The laboratory's command line.
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "experiment/experiment.h"
+
+namespace {
+
+using namespace canvasstage::lab;
+
+std::string content_of(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) throw BadExperiment(path + ": cannot be read");
+  std::stringstream content;
+  content << in.rdbuf();
+  return content.str();
+}
+
+void write_file(const std::string& path, const std::string& content) {
+  std::ofstream out(path);
+  out << content;
+  if (!out.flush()) throw BadExperiment(path + ": cannot be written");
+}
+
+int run(const std::string& file, const std::string& folder, bool quiet) {
+  const Experiment experiment = read_experiment(content_of(file), file);
+  const auto from = std::chrono::steady_clock::now();
+  const Table table =
+      run_experiment(experiment, [&](const std::string& policy, double value, std::uint64_t seed) {
+        if (!quiet)
+          std::cerr << policy << " " << experiment.field << " " << value << " seed " << seed << '\n';
+      });
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - from;
+  std::cout << as_text(table);
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  if (!quiet)
+    std::cerr << took.count() << " s for " << static_cast<double>(table.runs) * experiment.scenario.length
+              << " emulated seconds, " << used.ru_maxrss / 1024 << " MB at most\n";
+  if (!folder.empty()) {
+    write_file(folder + "/" + table.name + ".txt", as_text(table));
+    write_file(folder + "/" + table.name + ".csv", as_csv(table));
+    for (std::size_t m = 0; m < table.measures.size(); ++m)
+      write_file(folder + "/" + table.name + "-" + table.measures[m] + ".svg", as_svg(table, m));
+  }
+  return table.rules_broken == 0 ? 0 : 3;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("canvasstage's laboratory: many nodes in virtual time");
+  app.require_subcommand(1);
+  std::string file, folder;
+  bool quiet = false;
+  CLI::App* const running = app.add_subcommand("run", "runs an experiment and prints its table");
+  running->add_option("experiment", file, "a TOML file")->required();
+  running->add_option("--out", folder, "a folder for the table as text and CSV, and the plots");
+  running->add_flag("--quiet", quiet, "the table alone, the same for the same file");
+  CLI::App* const checking =
+      app.add_subcommand("check", "reads an experiment and says what is wrong with it");
+  checking->add_option("experiment", file, "a TOML file")->required();
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (running->parsed()) return run(file, folder, quiet);
+    read_experiment(content_of(file), file);
+    std::cout << file << ": sound\n";
+  } catch (const std::exception& failure) {
+    std::cerr << "canvasstage-lab: " << failure.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/lab_emulator_test.cpp
@@ -0,0 +1,321 @@
+// The emulator against what theory says, and against nodes that are broken on purpose.
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "emulator/emulator.h"
+
+namespace canvasstage::lab {
+namespace {
+
+// A fleet of queues without limits and without a network, for what theory knows.
+Scenario queues(int executors, int slots, double load, const std::string& policy, double length) {
+  Scenario s;
+  s.nodes = 1;
+  s.executors = executors;
+  s.slots = slots;
+  s.queue = 1000000;
+  s.load = load;
+  s.policy = policy;
+  s.length = length;
+  s.warm_up = length / 10;
+  s.delay = s.jitter = 0;
+  s.classes[0].work = 1;
+  s.classes[0].limit = 1000;
+  return s;
+}
+
+Result run(const Scenario& scenario, std::uint64_t seed = 1) {
+  Emulator emulator(scenario, seed);
+  return emulator.run();
+}
+
+// Mean stay over several seeds, and how far that may be off (three standard errors).
+struct Interval {
+  double mean, margin;
+};
+Interval stay_of(const Scenario& scenario, int seeds) {
+  double sum = 0, squares = 0;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const double stay = run(scenario, static_cast<std::uint64_t>(seed)).stay;
+    sum += stay;
+    squares += stay * stay;
+  }
+  const double mean = sum / seeds;
+  const double variance = std::max(0.0, squares / seeds - mean * mean) * seeds / (seeds - 1);
+  return {mean, 3 * std::sqrt(variance / seeds)};
+}
+
+TEST(LabTheory, OneQueueWithOneServer) {
+  const Interval stay = stay_of(queues(1, 1, 0.7, "random", 20000), 8);
+  EXPECT_NEAR(stay.mean, 1 / (1 - 0.7), stay.margin);
+  EXPECT_LT(stay.margin, 0.3);
+}
+
+TEST(LabTheory, OneQueueWithFourServers) {
+  const double load = 0.8, offered = 4 * load;
+  double sum = 0, term = 1;
+  for (int k = 0; k < 4; term *= offered / ++k) sum += term;
+  const double waits = term / (1 - load) / (sum + term / (1 - load));  // Erlang's C
+  const Interval stay = stay_of(queues(1, 4, load, "random", 8000), 8);
+  EXPECT_NEAR(stay.mean, 1 + waits / (4 * (1 - load)), stay.margin);
+  EXPECT_LT(stay.margin, 0.3);
+}
+
+TEST(LabTheory, RandomChoiceIsOneQueueForEach) {
+  const Interval stay = stay_of(queues(20, 1, 0.7, "random", 1500), 8);
+  EXPECT_NEAR(stay.mean, 1 / (1 - 0.7), stay.margin);
+  EXPECT_LT(stay.margin, 0.3);
+}
+
+// The best of d, in a large fleet: the sum over i of load^((d^i - d) / (d - 1)).
+TEST(LabTheory, TheBestOfSeveralInALargeFleet) {
+  for (const int d : {2, 3}) {
+    Scenario scenario = queues(400, 1, 0.9, "d_of_uniform", 120);
+    scenario.choices = d;
+    scenario.warm_up = 0;
+    double expected = 0, power = d;
+    for (int i = 1; i < 20; ++i, power *= d) expected += std::pow(0.9, (power - d) / (d - 1));
+    const Interval stay = stay_of(scenario, 4);
+    // It begins empty, and a fleet is not without end: a twentieth beside the spread.
+    EXPECT_NEAR(stay.mean, expected, stay.margin + expected / 20) << d;
+  }
+}
+
+TEST(LabTheory, LittlesLawHoldsOnEveryRun) {
+  for (const char* const policy : {"node", "random", "round_robin", "least_outstanding", "d_of_uniform"}) {
+    Scenario scenario;
+    scenario.policy = policy;
+    scenario.length = 60;
+    scenario.load = 0.6;
+    const Result result = run(scenario);
+    EXPECT_GT(result.there, 1) << policy;
+    EXPECT_NEAR(result.there, result.rate_by_stay, 0.02 * result.there) << policy;
+  }
+}
+
+TEST(LabEmulator, OneSeedIsOneRunToTheByte) {
+  Scenario scenario;
+  scenario.nodes = 4;
+  scenario.zones = 2;
+  scenario.length = 20;
+  scenario.leaves = 0.1;
+  scenario.clocks_apart = 3;
+  scenario.faults = {{Fault::Kind::kCrash, 5, 4, 0.3, 1, -1}, {Fault::Kind::kLoss, 8, 3, 0.02, 1, -1}};
+  const std::string words = run(scenario, 7).words();
+  EXPECT_EQ(run(scenario, 7).words(), words);
+  EXPECT_NE(run(scenario, 8).words(), words);
+}
+
+TEST(LabEmulator, WhatIsAskedForAtOneTimeHappensInTheOrderOfAsking) {
+  Events events;
+  std::string order;
+  events.at(5, [&] { order += 'b'; });
+  events.at(3, [&] {
+    order += 'a';
+    events.at(5, [&] { order += 'd'; });
+    events.at(1, [&] { order += '!'; });  // it has passed: now
+  });
+  events.at(5, [&] { order += 'c'; });
+  events.run_until(5);
+  EXPECT_EQ(order, "a!bcd");
+  EXPECT_EQ(events.now(), 5);
+}
+
+// The node keeps its rules through every fault that the lab has.
+TEST(LabEmulator, TheNodeKeepsItsRulesThroughEveryFault) {
+  using Kind = Fault::Kind;
+  for (const Kind kind : {Kind::kCrash, Kind::kVanish, Kind::kHang, Kind::kSlow, Kind::kFail, Kind::kDrain,
+                          Kind::kPartition, Kind::kLoss, Kind::kDiscovery, Kind::kBurst}) {
+    Scenario scenario;
+    scenario.nodes = 5;
+    scenario.zones = 2;
+    scenario.length = 20;
+    scenario.load = 0.5;
+    scenario.warm_span = 5;
+    scenario.leaves = 0.05;
+    scenario.retries = 2;
+    WorkClass single, referenced;
+    single.name = "single";
+    single.effect = Effect::kSingleUse;
+    referenced.name = "referenced";
+    referenced.effect = Effect::kReferenced;
+    referenced.group = Group::kZone;
+    referenced.late_value = 0.5;
+    scenario.classes = {WorkClass{}, single, referenced};
+    scenario.faults = {{kind, 8, 6, kind == Kind::kLoss ? 0.05 : 0.3, kind == Kind::kFail ? 0.8 : 4.0, -1}};
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      const Result result = run(scenario, seed);
+      EXPECT_EQ(result.rules_broken(), 0u) << static_cast<int>(kind) << "\n" << result.words();
+      EXPECT_GT(result.requests, 100u);
+      EXPECT_GT(result.service, kind == Kind::kBurst ? 0.3 : 0.6) << static_cast<int>(kind) << "\n"
+                                                                  << result.words();
+    }
+  }
+}
+
+// Its list comes late, after the partition has healed.
+TEST(LabEmulator, APartitionThatHealsWhileTheListIsLate) {
+  Scenario scenario;
+  scenario.nodes = 4;
+  scenario.zones = 2;
+  scenario.length = 30;
+  scenario.list_delay = 6;
+  scenario.warm_span = 5;
+  scenario.faults = {{Fault::Kind::kPartition, 8, 4, 0, 1, 1},
+                     {Fault::Kind::kCrash, 7, 4, 0.3, 1, -1},
+                     {Fault::Kind::kDiscovery, 10, 4, 0, 1, -1}};
+  const Result result = run(scenario);
+  EXPECT_EQ(result.rules_broken(), 0u) << result.words();
+}
+
+TEST(LabEmulator, OverloadForTheWholeRunIsBoundedAndAnswered) {
+  Scenario scenario;
+  scenario.length = 12;
+  scenario.warm_up = 2;
+  scenario.executors = 4;
+  scenario.load = 3;
+  const Result result = run(scenario);
+  EXPECT_EQ(result.rules_broken(), 0u) << result.words();
+  EXPECT_GT(result.classes[0].refused, 0u);
+  EXPECT_GT(result.service, 0.15);
+}
+
+// --- Nodes that are broken on purpose, one for each rule ---
+
+class Broken : public Dispatcher {
+ public:
+  explicit Broken(Emulator& emulator) : emulator_(emulator) {}
+  void arrived(const std::shared_ptr<const Job>& job) override { send(job, 0); }
+  void client_gone(Id) override {}
+  void ended(Id launch, Outcome outcome, bool) override {
+    const std::shared_ptr<const Job> job = jobs_[launch - 1];
+    end(job, outcome);
+  }
+  void listed(int, Standing, Micros) override {}
+  void list_ended(bool, std::uint64_t) override {}
+
+ protected:
+  virtual void end(const std::shared_ptr<const Job>& job, Outcome) {
+    emulator_.answer(0, job->client, Answer::kSatisfied);
+  }
+  void send(const std::shared_ptr<const Job>& job, int executor) {
+    jobs_.push_back(job);
+    emulator_.launch(0, jobs_.size(), 0, executor, job);
+  }
+  Emulator& emulator_;
+  std::vector<std::shared_ptr<const Job>> jobs_;
+};
+
+Scenario small(Effect effect) {
+  Scenario scenario;
+  scenario.nodes = 1;
+  scenario.executors = 2;
+  scenario.length = 5;
+  scenario.load = 0.2;
+  scenario.classes[0].effect = effect;
+  return scenario;
+}
+
+template <class Kind>
+Result run_broken(const Scenario& scenario) {
+  Emulator emulator(scenario, 1, [](Emulator& with, int) { return std::make_unique<Kind>(with); });
+  return emulator.run();
+}
+
+std::uint64_t count(const Result& result, Rule rule) {
+  return result.broken[static_cast<std::size_t>(rule)];
+}
+
+TEST(LabRules, ASoundOneBreaksNone) {
+  EXPECT_EQ(run_broken<Broken>(small(Effect::kSingleUse)).rules_broken(), 0u);
+}
+
+struct AnswersTwice : Broken {
+  using Broken::Broken;
+  void end(const std::shared_ptr<const Job>& job, Outcome) override {
+    emulator_.answer(0, job->client, Answer::kSatisfied);
+    emulator_.answer(0, job->client, Answer::kSatisfied);
+  }
+};
+struct NeverAnswers : Broken {
+  using Broken::Broken;
+  void end(const std::shared_ptr<const Job>&, Outcome) override {}
+};
+struct LaunchesAfterTheAnswer : Broken {
+  using Broken::Broken;
+  void end(const std::shared_ptr<const Job>& job, Outcome) override {
+    if (!answered_.insert({job->client, true}).second) return;
+    emulator_.answer(0, job->client, Answer::kSatisfied);
+    send(job, 1);
+  }
+  std::unordered_map<Id, bool> answered_;
+};
+
+TEST(LabRules, AnAnswerTooManyOrTooFewIsFound) {
+  EXPECT_GT(count(run_broken<AnswersTwice>(small(Effect::kReplayable)), Rule::kOneAnswer), 0u);
+  EXPECT_GT(count(run_broken<NeverAnswers>(small(Effect::kReplayable)), Rule::kOneAnswer), 0u);
+  EXPECT_GT(count(run_broken<LaunchesAfterTheAnswer>(small(Effect::kReplayable)), Rule::kOneAnswer), 0u);
+}
+
+struct SendsAgain : Broken {
+  using Broken::Broken;
+  void end(const std::shared_ptr<const Job>& job, Outcome outcome) override {
+    if (outcome == Outcome::kErrored && sent_.insert({job->client, true}).second) return send(job, 1);
+    emulator_.answer(0, job->client, Answer::kAborted);
+  }
+  std::unordered_map<Id, bool> sent_;
+};
+struct PushesBack : Broken {
+  using Broken::Broken;
+  void end(const std::shared_ptr<const Job>& job, Outcome outcome) override {
+    emulator_.answer(0, job->client, outcome == Outcome::kErrored ? Answer::kPushedBack : Answer::kSatisfied);
+  }
+};
+
+TEST(LabRules, ARepeatOfWhatMayHaveRunIsFound) {
+  Scenario scenario = small(Effect::kSingleUse);
+  scenario.faults = {{Fault::Kind::kFail, 0, 5, 1, 1, -1}};
+  EXPECT_GT(count(run_broken<SendsAgain>(scenario), Rule::kNoRepeat), 0u);
+  EXPECT_GT(count(run_broken<PushesBack>(scenario), Rule::kNoRepeat), 0u);
+  scenario.classes[0].effect = Effect::kReplayable;
+  EXPECT_EQ(run_broken<SendsAgain>(scenario).rules_broken(), 0u);
+  scenario.classes[0].effect = Effect::kReferenced;  // executors 0 and 1 are one cell
+  scenario.classes[0].group = Group::kCell;
+  EXPECT_EQ(run_broken<SendsAgain>(scenario).rules_broken(), 0u);
+  scenario.zones = 2;
+  scenario.classes[0].group = Group::kZone;
+  EXPECT_GT(count(run_broken<SendsAgain>(scenario), Rule::kNoRepeat), 0u);
+}
+
+// It has watched, and goes on all the same.
+struct SendsToWhoeverDrains : Broken {
+  explicit SendsToWhoeverDrains(Emulator& emulator) : Broken(emulator) {
+    emulator.events().after(0, [&emulator] { emulator.watch(0); });
+  }
+  void end(const std::shared_ptr<const Job>& job, Outcome outcome) override {
+    emulator_.answer(0, job->client, outcome == Outcome::kSatisfied ? Answer::kSatisfied : Answer::kAborted);
+  }
+};
+
+TEST(LabRules, ALaunchAtADrainingExecutorIsFound) {
+  Scenario scenario = small(Effect::kReplayable);
+  scenario.faults = {{Fault::Kind::kDrain, 1, 3, 1, 1, -1}};
+  scenario.drain_grace = 0.5;
+  EXPECT_GT(count(run_broken<SendsToWhoeverDrains>(scenario), Rule::kDrain), 0u);
+  scenario.drain_grace = 10;
+  EXPECT_EQ(count(run_broken<SendsToWhoeverDrains>(scenario), Rule::kDrain), 0u);
+}
+
+TEST(LabRules, AColdExecutorThatIsPushedOverIsFound) {
+  Scenario scenario = small(Effect::kReplayable);
+  scenario.load = 1.5;  // all of it at one executor: three times what it does while warm
+  scenario.warm_span = 4;
+  scenario.cold_from = 0.1;
+  scenario.fall_multiple = 1.5;
+  scenario.faults = {{Fault::Kind::kCrash, 0.5, 0.2, 1, 1, -1}};
+  EXPECT_GT(count(run_broken<SendsToWhoeverDrains>(scenario), Rule::kCold), 0u);
+}
+
+}  // namespace
+}  // namespace canvasstage::lab
