--- a/lab/emulator/emulator.cpp
+++ b/lab/emulator/emulator.cpp
@@ -285,6 +285,15 @@
   });
 }
 
+// What runs has done so much since it was looked at last.
+void Emulator::reckon_up_to_now(const ExecutorState& executor) {
+  for (const AttemptRef& attempt : executor.running) {
+    attempt->left =
+        std::max(0.0, attempt->left - in_seconds(events_.now() - attempt->rated) * rate(executor));
+    attempt->rated = events_.now();
+  }
+}
+
 // What is left was reckoned up to now with the old speed; the ends follow from the new one.
 void Emulator::rate_again(int index) {
   for (const AttemptRef& attempt : executors_[static_cast<std::size_t>(index)].running)
@@ -336,11 +345,7 @@
   events_.after(micros(scenario_.warm_span / kWarmSteps), [this, index, started] {
     ExecutorState& executor = executors_[static_cast<std::size_t>(index)];
     if (executor.started != started) return;
-    for (const AttemptRef& attempt : executor.running) {
-      attempt->left =
-          std::max(0.0, attempt->left - in_seconds(events_.now() - attempt->rated) * rate(executor));
-      attempt->rated = events_.now();
-    }
+    reckon_up_to_now(executor);
     rate_again(index);
     if (events_.now() - started < micros(scenario_.warm_span)) warm_further(index);
   });
@@ -567,11 +572,7 @@
       return [this, index, standing] { list(index, standing); };
     };
     const auto change_rate = [this, &executor, index](double slow) {
-      for (const AttemptRef& attempt : executor.running) {
-        attempt->left =
-            std::max(0.0, attempt->left - in_seconds(events_.now() - attempt->rated) * rate(executor));
-        attempt->rated = events_.now();
-      }
+      reckon_up_to_now(executor);
       executor.slow = slow;
       rate_again(index);
     };
--- a/lab/emulator/emulator.h
+++ b/lab/emulator/emulator.h
@@ -143,6 +143,7 @@
   void come(const AttemptRef& attempt);
   void begin_what_fits(int executor);
   double rate(const ExecutorState& executor) const;
+  void reckon_up_to_now(const ExecutorState& executor);
   void rate_again(int executor);
   void schedule_end(int executor, const AttemptRef& attempt);
   void cancel(const AttemptRef& attempt);
