--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -74,6 +74,32 @@
   EXPECT_EQ(to.effects.launches[0].over, executor == to.effects.launches[0].address ? launches[0] : 0);
 }
 
+// Taken = ended + outstanding + handed over in each, and what one handed over the other one took.
+TEST(Handover, TheSumsHoldOverBothProcesses) {
+  Core from = shared_core(1), to = shared_core(1);
+  from.effects.heir = true;
+  from.arrive(5, 0);
+  from.arrive(6, 0);  // waits
+  from.end(1, Outcome::kSatisfied, kNow + 10);
+  from.node.stop(kNow + 20);
+  from.node.launch_parked(kNow + 30, 2, std::make_shared<ReadingStub>());
+  const Figures old = from.figures_at(kNow + kSecond);
+  ASSERT_EQ(from.effects.handed_jobs.size(), 1u);
+  EXPECT_EQ(old.taken, 2u);
+  EXPECT_EQ(old.use_cases[0].satisfied, 1u);
+  EXPECT_EQ(old.handed_over, 1u);
+  EXPECT_EQ(old.outstanding, 0u);
+  to.node.client_opened(kNow, 9);
+  std::vector<Id> launches;
+  to.node.job_taken_over(kNow, 9, passed_on(from.effects.handed_jobs[0], kNow, kNow), launches);
+  EXPECT_EQ(to.figures_at(kNow + kSecond / 10).outstanding, 1u);
+  to.end(launches.at(0), Outcome::kSatisfied, kNow + kSecond / 10);
+  const Figures fresh = to.figures_at(kNow + kSecond / 5);
+  EXPECT_EQ(fresh.taken, 1u);
+  EXPECT_EQ(fresh.use_cases[0].satisfied, 1u);
+  EXPECT_EQ(fresh.outstanding, 0u);
+}
+
 // It may have run there: the process that goes on with it may not launch it again.
 TEST(Handover, WhatMayHaveRunIsKnownToTheNextProcess) {
   Core from = shared_core(2), to = shared_core(2);
