Reading again is a function, not a class without state; an unused accessor and result go

Found on reading the whole change: Reloader had lost its state when the node began to number settings, and its comment spoke of it still; Upgrade::has_elder was asked by nobody, and its flag said what the open socket says; the result of starting a client's thread was never read.

--- a/src/app/configuration.cpp
+++ b/src/app/configuration.cpp
@@ -70,16 +70,16 @@
 
 // The file says where discovery is, whatever the environment said at the start. What only a start can change
 // is named and waits for one.
-bool Reloader::reload(const Apply& apply) {
+bool reload(const std::string& path, const Configuration& first, const Apply& apply) {
   try {
-    Configuration now = read_configuration(path_);
+    Configuration now = read_configuration(path);
     const auto keep = [](bool same, const char* field) {
       if (!same) net::log_note(std::string("reload: ") + field + " stays as it was until the next start");
     };
-    keep(now.name == first_.name, "name");
-    keep(now.listen == first_.listen, "listen");
-    keep(now.console == first_.console, "console");
-    keep(now.memory_mb == first_.memory_mb && now.sockets == first_.sockets, "limits");
+    keep(now.name == first.name, "name");
+    keep(now.listen == first.listen, "listen");
+    keep(now.console == first.console, "console");
+    keep(now.memory_mb == first.memory_mb && now.sockets == first.sockets, "limits");
     net::log_note("reload: discovery is " + now.discovery);
     apply(std::move(now.settings), std::move(now.terms), std::move(now.discovery));
     return true;
--- a/src/app/configuration.h
+++ b/src/app/configuration.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <string>
-#include <utility>
 
 #include "core/settings.h"
 
@@ -27,18 +26,10 @@
 // An address that the environment names, where it does; it goes before the file's.
 std::string from_environment(const char* variable, const std::string& otherwise);
 
-// Reads the file again as SIGHUP asks for it, and keeps what holds since.
-class Reloader {
- public:
-  // Called with what is to hold from now on; never with a part of it.
-  using Apply = std::function<void(Settings settings, Terms terms, std::string discovery)>;
-  Reloader(std::string path, const Configuration& first) : path_(std::move(path)), first_(first) {}
-  // False: something was wrong with it, and nothing changes.
-  bool reload(const Apply& apply);
-
- private:
-  const std::string path_;
-  const Configuration& first_;
-};
+// Called with what is to hold from now on; never with a part of it.
+using Apply = std::function<void(Settings settings, Terms terms, std::string discovery)>;
+// Reads the file again as SIGHUP asks for it; `first` is what the process started with. False: something was
+// wrong with it, and nothing changes.
+bool reload(const std::string& path, const Configuration& first, const Apply& apply);
 
 }  // namespace canvasstage
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,8 +23,7 @@
     "usage: canvasstage [--help | --version]\n"
     "One node. NODE_CONFIG names its configuration; NODE_LISTEN, NODE_DISCOVERY and NODE_CONSOLE, where set, "
     "go before it at the start. NODE_INHERITED_FD names a listening socket to take clients from. SIGHUP "
-    "reads "
-    "the file again.\n";
+    "reads the file again.\n";
 
 // The clients' listening socket: one that the platform holds and every process of this node inherits, or one
 // of its own.
@@ -109,7 +108,6 @@
   }
   server->start();
   if (console) net::start_thread([&console] { console->run(); });
-  Reloader reloader(path, c);
   const auto apply = [&](Settings settings, Terms now_terms, std::string address) {
     reducer.post([&, settings = std::move(settings), now_terms = std::move(now_terms),
                   address = std::move(address)](Time now) {
@@ -127,7 +125,7 @@
     const timespec look_up{0, 200000000};
     while (!reducer.finished()) {
       const int signal = sigtimedwait(&signals, nullptr, &look_up);
-      if (signal == SIGHUP && !reloader.reload(apply))
+      if (signal == SIGHUP && !reload(path, c, apply))
         reducer.post([&node](Time) { node->reload_rejected(); });
       if (signal != SIGTERM && signal != SIGINT) continue;
       net::log_note("told to stop");
--- a/src/net/console.h
+++ b/src/net/console.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <atomic>
-#include <memory>
 #include <string>
 #include <vector>
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -83,14 +83,13 @@
   };
 }
 
-bool Server::start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone) {
+void Server::start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone) {
   const bool started = start_thread([client = client, gone]() mutable {
     client->run();
     client.reset();
     gone();
   });
   if (!started) gone();
-  return started;
 }
 
 std::shared_ptr<ExecutorConnection> Server::new_link() {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -51,7 +51,7 @@
   void listen();
   void accept(Socket socket, std::string peer);
   std::function<void()> when_gone(Id client);
-  static bool start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone);
+  static void start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone);
   std::shared_ptr<ExecutorConnection> new_link();
   bool start(const std::shared_ptr<ExecutorConnection>& link);
   std::shared_ptr<ClientConnection> take_client(Time now, Socket socket, bool fresh, Time opened,
--- a/src/net/upgrade.cpp
+++ b/src/net/upgrade.cpp
@@ -127,7 +127,6 @@
   Socket elder = unix_socket();
   if (elder.open() && ::connect(elder.fd(), reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0) {
     elder_ = std::move(elder);
-    has_elder_ = true;
     if (!greet(elder_, true)) log_note("upgrade: the process before this one hands nothing over");
   }
   listener_ = unix_socket();
@@ -142,7 +141,7 @@
     start_thread([this] { meet_heirs(); });
     start_thread([this] { write_out(); });
   }
-  if (has_elder_) {
+  if (elder_.open()) {
     overlap_(true);
     start_thread([this] { follow_elder(); });
   }
--- a/src/net/upgrade.h
+++ b/src/net/upgrade.h
@@ -32,8 +32,6 @@
   // the folder is not to be used.
   bool start(const char* folder);
   bool has_heir() const { return has_heir_; }
-  // Whether a process was there at the start.
-  bool has_elder() const { return has_elder_; }
   // From any thread, once there is an heir.
   void send(Message message);
   void client_moves(Socket socket, bool fresh, Time since_opened) override;
@@ -50,7 +48,7 @@
   const Taken taken_;
   const Overlap overlap_;
   Socket listener_, elder_;
-  std::atomic<bool> has_heir_{false}, has_elder_{false}, stopped_{false};
+  std::atomic<bool> has_heir_{false}, stopped_{false};
   std::mutex mutex_;
   std::condition_variable changed_;
   Socket heir_;  // the sender's once it is there
