--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,7 +63,9 @@
       random_(seed),
       work_(settings_.use_cases.size(), 1.0),
       work_weight_(settings_.use_cases.size(), 0.0) {
-  tick(now);
+  // Not at once: what the node remembers of the roster is told first.
+  next_ask_ = now;
+  host_.wake_at(now, kTickToken);
 }
 
 // --- Following the list ---
@@ -107,16 +109,28 @@
   if (form != RosterForm::kRemembered) {
     subscribed_ = true;
     ask_pause_ = 0;
+  } else if (!subscribed_ && !executors.empty()) {
+    // Nodes start together, and what is remembered is as good as a list that comes some seconds later.
+    next_ask_ = now + from_seconds(seconds(asking_span()) * uniform(random_));
   }
   serve_held(now);
 }
 
+// Discovery works through the calls of all nodes in turn, and one that has waited too long costs it a turn
+// all the same: of 100 that called together 39 were answered, and as the others came back together, half a
+// second later, none was for the next ten. So calls that may come together are spread over this long. 20 a
+// second is half of what that one bore.
+Time Policy::asking_span() const {
+  constexpr Time kTurn = kSecond / 20;
+  return std::clamp(settings_.replicas * kTurn, kSecond / 2, std::max(kSecond / 2, settings_.ask_within / 2));
+}
+
 // A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do
 // not crowd a discovery of fixed capacity, but stay well inside the time after which we are deemed to have
 // been told.
 void Policy::roster_refused(Time now) {
   subscribed_ = false;
-  ask_pause_ = std::clamp(2 * ask_pause_, kSecond / 2, settings_.ask_within / 2);
+  ask_pause_ = std::clamp(2 * ask_pause_, asking_span(), std::max(kSecond / 2, settings_.ask_within / 2));
   next_ask_ = now + from_seconds(seconds(ask_pause_) * (0.5 + uniform(random_)));
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -211,6 +211,7 @@
   void close_launch(Time now, Submission& submission, Launch& launch);
   void count_running(Executor& executor, const Submission& submission, const Launch& launch);
   void follow_list(Time now);
+  Time asking_span() const;
   void tick(Time now);
   double value_per_work(const Submission& submission) const;
   Time last_start(const Submission& submission, double chance) const;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -226,6 +226,7 @@
   settings.ask_within = 10 * kSecond;
   Recorder host;
   Policy policy(settings, host, 1, kNow);
+  policy.timer_due(kNow, 0);
   EXPECT_EQ(host.subscriptions, 1);
   for (Time now = kNow; now < kNow + 10 * kSecond; now += kSecond / 4) {
     policy.roster_refused(now);
@@ -234,6 +235,53 @@
   EXPECT_GT(host.subscriptions, 2);
 }
 
+// Seventy of a hundred nodes were killed together, called together and were refused together, again and again:
+// for 20 s discovery worked through calls that nobody waited for any more.
+TEST(List, NodesThatStartOrAreRefusedTogetherDoNotCallTogether) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = true;
+  settings.ask_within = 10 * kSecond;
+  settings.replicas = 100;
+  Recorder host;
+  std::vector<std::unique_ptr<Policy>> nodes;
+  for (std::uint32_t seed = 0; seed < 100; ++seed) {
+    nodes.push_back(std::make_unique<Policy>(settings, host, seed, kNow));
+    nodes.back()->executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, 0);
+    nodes.back()->roster_arrived(kNow, RosterForm::kRemembered);
+  }
+  const auto most_in_a_second = [&](Time from, Time until) {
+    int most = 0;
+    for (Time second = from; second < until; second += kSecond) {
+      const int before = host.subscriptions;
+      for (Time now = second; now < std::min(until, second + kSecond); now += kSecond / 4)
+        for (const auto& node : nodes) node->timer_due(now, 0);
+      most = std::max(most, host.subscriptions - before);
+    }
+    return most;
+  };
+  EXPECT_LE(host.subscriptions, 35);
+  // Up to here nobody calls again for want of an answer.
+  EXPECT_LE(most_in_a_second(kNow, kNow + 5 * kSecond), 35);
+  EXPECT_GE(host.subscriptions, 90);
+  const Time refused = kNow + 5 * kSecond;
+  host.subscriptions = 0;
+  for (const auto& node : nodes) node->roster_refused(refused);
+  EXPECT_LE(most_in_a_second(refused, refused + 7 * kSecond), 35);
+  EXPECT_GE(host.subscriptions, 80);
+}
+
+TEST(List, WithNothingRememberedItIsAskedForAtOnce) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = true;
+  settings.ask_within = 10 * kSecond;
+  settings.replicas = 100;
+  Recorder host;
+  Policy policy(settings, host, 1, kNow);
+  policy.roster_arrived(kNow, RosterForm::kRemembered);
+  policy.timer_due(kNow, 0);
+  EXPECT_EQ(host.subscriptions, 1);
+}
+
 TEST(List, ARestartedExecutorIsANewOne) {
   Decider node(1);
   node.policy.executors[0].bad.add(kNow, kSecond, 5);
