Cold executors are drawn beside the connected ones, within their budget as before

At 20 to 25 s still under half goes to the new ones. Two launches in 5 s for each new executor are 7 % of what the cold rule allows, by the settings' multiple and span. At fault: find_ready() with connected_only. A node has its two connections to old executors and looks at nobody else while they have room. Change: the connected ones and the cold ones make the ready set; room, health and the cold budget decide as before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -95,9 +95,15 @@
   executor.cell = cell;
   executor.standing = standing;
   executor.started = std::min(std::max(executor.started, started), now);
+  if (cold(now, executor) && std::find(newcomers_.begin(), newcomers_.end(), index) == newcomers_.end())
+    newcomers_.push_back(index);
   count_speed(executor, 1);
 }
 
+bool Policy::cold(Time now, const Executor& executor) const {
+  return executor.started > 0 && now - executor.started < settings_.warm_up + settings_.fall_span;
+}
+
 void Policy::roster_arrived(Time now, RosterForm form) {
   ++list_;
   if (form == RosterForm::kWhole)
@@ -282,23 +288,37 @@
   return settings_.connection_price * mean_value / falls * mean_leeway(submission);
 }
 
-// Fills the ready set, from the connected executors or from the whole roster. A look at all of a large fleet
-// for every launch costs too much: from a random place in an order of this node's own it goes on for kLooks,
-// and then only until as many are ready as TPD draws at least.
+// Fills the ready set, from the whole roster or from the connected executors and the cold ones: whoever has
+// its two connections would never meet those that took the place of most others, and what it may send them
+// while they are cold, little as it is, would be lost.
 void Policy::find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health) {
-  constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
-  const Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
-  const std::vector<int>& from = connected_only ? contacts : order_;
   ready_.clear();
+  if (!connected_only) return look_through(now, submission, order_, ask_health);
+  std::erase_if(contacts, [&](int i) { return !connected(now, executors[i]) && executors[i].open == 0; });
+  std::erase_if(newcomers_, [&](int i) { return !cold(now, executors[i]); });
+  near_.clear();
+  for (const int i : contacts)
+    if (connected(now, executors[i])) near_.push_back(i);
+  for (const int i : newcomers_)
+    if (!connected(now, executors[i])) near_.push_back(i);
+  look_through(now, submission, near_, ask_health);
+}
+
+// A look at all of a large fleet for every launch costs too much: from a random place in an order of this
+// node's own it goes on for kLooks, and then only until as many are ready as TPD draws at least.
+void Policy::look_through(Time now, const Submission& submission, const std::vector<int>& from,
+                          bool ask_health) {
+  constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
   if (from.empty()) return;
+  const Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
   // Whoever has launches behind it has few left, and none for one more look where nobody was.
   const bool looks = submission.launches.empty();
-  std::size_t at = connected_only ? 0 : random_() % from.size();
+  std::size_t at = random_() % from.size();
   for (std::size_t n = 0; n < from.size() && (n < kLooks || ready_.size() < kLeastReady); ++n) {
     const int i = from[at];
     Executor& executor = executors[i];
     at = at + 1 < from.size() ? at + 1 : 0;
-    if ((!connected_only || connected(now, executor)) && has_room(executor) &&
+    if (has_room(executor) &&
         now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
         begins_by(now, executor, latest) && may_launch(now, submission, i) &&
         (!ask_health || (!tried(submission, i) && !doubted(now, executor))))
@@ -309,7 +329,6 @@
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   const Time fade = wait_life();
-  std::erase_if(contacts, [&](int i) { return !connected(now, executors[i]) && executors[i].open == 0; });
   find_ready(now, submission, true, true);
   if (ready_.size() < kLeastReady) find_ready(now, submission, false, true);
   // If every executor looks bad the work still flows.
@@ -383,7 +402,7 @@
     if (now + settings_.quantum >= launch.sent + use_case.window) return false;
   }
   // Rule 4: a cold executor gets no more than our share of what it can surely bear.
-  if (now - executor.started >= settings_.warm_up + settings_.fall_span || executor.started == 0) return true;
+  if (!cold(now, executor)) return true;
   const double work = cost(submission) * submission.width;
   double sent = work;
   for (const auto& [when, earlier] : executor.cold_sends)
@@ -495,8 +514,7 @@
   executor.open_cost += launch.cost;
   std::erase_if(executor.cold_sends,
                 [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
-  if (now - executor.started < settings_.warm_up + settings_.fall_span)
-    executor.cold_sends.emplace_back(now, launch.cost * submission.width);
+  if (cold(now, executor)) executor.cold_sends.emplace_back(now, launch.cost * submission.width);
   host_.launch(index, to, submission.due);
   wake(now + queue_patience(launch), index);
 }
--- a/src/policy.h
+++ b/src/policy.h
@@ -235,6 +235,8 @@
   bool connected(Time now, const Executor& executor) const;
   bool wins_cold_start(Time now, Executor& executor, double work, double budget);
   void find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health);
+  void look_through(Time now, const Submission& submission, const std::vector<int>& from, bool ask_health);
+  bool cold(Time now, const Executor& executor) const;
   bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
@@ -257,7 +259,8 @@
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
   std::vector<int> order_;                // all executors, as this node goes through them
-  std::vector<int> ready_;                // scratch of pick
+  std::vector<int> newcomers_;            // those that were cold when they were listed, and may be still
+  std::vector<int> near_, ready_;         // scratch of pick
   std::vector<double> chances_, delays_;  // scratch of pick
 };
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -614,6 +614,23 @@
   EXPECT_GT(picks_of(node, 0, 100), 0);
 }
 
+// Six of ten executors were replaced, and nodes with their two connections queued at the other four: of the
+// launches of the next five seconds a tenth went to the new ones, 7 % of what the rule allows.
+TEST(Connections, WhoeverHasTwoStillMeetsTheColdExecutors) {
+  Settings settings = small_settings();
+  settings.connection_idle = 10 * kSecond;
+  settings.fall_multiple = 40;
+  Decider node(6, settings);
+  for (const int i : {1, 4}) {
+    node.policy.executors[i].connections = 1;
+    node.policy.executors[i].used = kNow;
+    node.policy.contacts.push_back(i);
+  }
+  node.policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, kNow - kSecond);
+  EXPECT_GT(picks_of(node, 0, 100), 0);
+  EXPECT_EQ(picks_of(node, 2, 100), 0);
+}
+
 // A launch that is taken back closes its connection; counting it as free would hide the price of the next
 // one.
 // Its price is a delay like that of another zone: small beside a queue, but it decides between equals.
