A single connected executor is enough where a stranger is not expected to end sooner

At fault: pick() looks at the whole roster as soon as under two are ready, and TPD's few draws among 60 hardly ever hit the connected one. Change: where connections have a price one is enough while its expected end is no later than that of a stranger: the usual speed, the wait launches usually saw, the price as TPD's delay.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -328,12 +328,25 @@
   }
 }
 
+// Where connections have a price, a single connected executor is enough while it is expected to end no later
+// than a stranger, who has the usual speed and wait and needs a new connection. Without this every node with
+// one free connection opened a second.
+bool Policy::keeps_to(Time now, const Submission& submission, Executor& executor) {
+  if (settings_.connection_price <= 0) return false;
+  const double work = cost(submission), v = speed_now(now, executor);
+  const double usual_wait =
+      start_wait_.read(now, kHealthLife) / std::max(1.0, starts_.read(now, kHealthLife));
+  return (executor.open_cost + work) / v + executor.wait.read(now, wait_life()) <=
+         work / mean_speed() + usual_wait + opening(now, submission);
+}
+
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   const Time fade = wait_life();
   draw_zones(now);
   find_ready(now, submission, true, true);
-  if (ready_.size() < kLeastReady) find_ready(now, submission, false, true);
+  if (ready_.size() < kLeastReady && !(ready_.size() == 1 && keeps_to(now, submission, executors[ready_[0]])))
+    find_ready(now, submission, false, true);
   // If every executor looks bad the work still flows.
   if (ready_.empty()) find_ready(now, submission, false, false);
   if (ready_.empty()) return -1;
--- a/src/policy.h
+++ b/src/policy.h
@@ -240,6 +240,7 @@
   bool wins_cold_start(Time now, Executor& executor, double work, double budget);
   void find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health);
   void look_through(Time now, const Submission& submission, const std::vector<int>& from, bool ask_health);
+  bool keeps_to(Time now, const Submission& submission, Executor& executor);
   bool cold(Time now, const Executor& executor) const;
   bool begins_by(Time now, Executor& executor, Time latest) const;
   bool doubted(Time now, Executor& executor);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -703,6 +703,30 @@
   EXPECT_EQ(node.host.launches[1].executor, 0);
 }
 
+// A hundred nodes with one free connection each opened a second; half of all that they opened was of that
+// kind.
+TEST(Connections, ASingleOneIsEnoughUnlessAStrangerWouldEndSooner) {
+  Settings settings = small_settings();
+  settings.connection_idle = 10 * kSecond;
+  settings.connection_price = 0.1;
+  settings.use_cases[0].stretch = 2;
+  Decider node(6, settings);
+  node.policy.executors[1].connections = 1;
+  node.policy.executors[1].used = kNow;
+  node.policy.contacts.push_back(1);
+  EXPECT_EQ(picks_of(node, 1, 100), 100);
+  node.policy.executors[1].wait.value = 0.5;
+  node.policy.executors[1].wait.at = kNow;
+  EXPECT_LT(picks_of(node, 1, 100), 100);
+  node.policy.executors[1].wait.value = 0;
+  node.policy.executors[1].work = 1;
+  node.policy.executors[1].latency = 3;  // slow against the usual
+  node.policy.count_speed(node.policy.executors[1], 1);
+  node.policy.executors[2].work = node.policy.executors[2].latency = 1;
+  node.policy.count_speed(node.policy.executors[2], 1);
+  EXPECT_LT(picks_of(node, 1, 100), 100);
+}
+
 TEST(Connections, OneThatEndsWithoutAnAnswerIsGone) {
   Settings settings = small_settings();
   settings.connection_idle = 10 * kSecond;
