What would be aborted is kept to half of the bar for what may be pushed back

Clients hardly come again after an abort (1.02 tries a submission), while after a pushback they do. At fault: keep_until() gives both up at one bar.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -653,7 +653,10 @@
   if (!crowded && use_case.overdue_value > 0) return limit;
   const double usual =
       asked_value_.read(now, kHealthLife) / std::max(1e-9, asked_work_.read(now, kHealthLife));
-  const double needed = (crowded ? kGiveWayChance : 0.6) * usual / value_per_work(submission);
+  // What would be aborted is lost for good, while whoever is pushed back comes again.
+  constexpr double kAborted = 0.5;
+  const double needed = (crowded ? kGiveWayChance : 0.6) * (may_push_back(submission) ? 1 : kAborted) *
+                        usual / value_per_work(submission);
   // What a late answer earns is earned for sure: the chance has to make up for the rest alone.
   if (needed <= use_case.overdue_value) return limit;
   const double chance = (needed - use_case.overdue_value) / std::max(1e-9, 1 - use_case.overdue_value);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -618,6 +618,17 @@
             kNow + 5 * kSecond - 2 * settings.quantum);
 }
 
+// One that may have run is aborted, which its client takes for its end; the other's client comes again.
+TEST(Overload, WhatWouldBeAbortedIsKeptLongerThanWhatMayBePushedBack) {
+  Settings settings = small_settings();
+  settings.use_cases[0].agreed_time = settings.use_cases[1].agreed_time = kSecond / 10;
+  Decider node(2, settings);
+  for (int i = 0; i < 2; ++i) node.arrive(i, i);
+  ASSERT_FALSE(node.policy.may_push_back(node.policy.submissions[1]));
+  EXPECT_GT(node.policy.keep_until(kNow, node.policy.submissions[1]),
+            node.policy.keep_until(kNow, node.policy.submissions[0]));
+}
+
 // In a lasting overload what is worth little for its work held the room of what is worth most.
 TEST(Overload, WhatIsWorthLessThanItsRoomIsGivenUpAsSoonAsItWaits) {
   Settings settings = small_settings();
