--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -125,8 +125,8 @@
 
 // Discovery works through the calls of all nodes in turn, and one that has waited too long costs it a turn
 // all the same: of 100 that called together 39 were answered, and as the others came back together, half a
-// second later, none was for the next ten. So calls that may come together are spread over this long. 20 a
-// second is half of what that one bore.
+// second later, none was for the next ten. So calls that may come together are spread over this long: 20 a
+// second, which is what that one bore.
 Time Policy::asking_span() const {
   constexpr Time kTurn = kSecond / 20;
   return std::clamp(settings_.replicas * kTurn, kSecond / 2, std::max(kSecond / 2, settings_.ask_within / 2));
@@ -328,9 +328,9 @@
   }
 }
 
-// Where connections have a price, a single connected executor is enough while it is expected to end no later
-// than a stranger, who has the usual speed and wait and needs a new connection. Without this every node with
-// one free connection opened a second.
+// Where connections have a price, a single executor that is connected (or cold, with a share that was won) is
+// enough while it is expected to end no later than a stranger, who has the usual speed and wait and needs a
+// new connection. Without this every node with one free connection opened a second.
 bool Policy::keeps_to(Time now, const Submission& submission, Executor& executor) {
   if (settings_.connection_price <= 0) return false;
   const double work = cost(submission), v = speed_now(now, executor);
