--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -233,6 +233,23 @@
 }
 
 // Of 20 descriptors 12 are for connections: 6 clients at most.
+// A machine took the place, and the address, of another that drains: the old one's free connections are not
+// the new one's, and nothing goes to the old one.
+TEST(Core, ANewExecutorAtAnOldAddressGetsAConnectionOfItsOwn) {
+  Core core(1);
+  core.arrive(1, 0);
+  core.end(core.effects.launches[0].id, Outcome::kSatisfied, kNow + 10, true);
+  core.list(0, Standing::kDraining, kNow + 20);
+  core.node.executor_listed(kNow + 20, "s-new", "host:0", "a", "m", 0, Standing::kReady, 0);
+  core.node.roster_arrived(kNow + 20, RosterForm::kChanges, 2);
+  core.arrive(2, 0, kNow + 30);
+  ASSERT_EQ(core.effects.launches.size(), 2u);
+  EXPECT_EQ(core.effects.launches[1].over, 0u);
+  EXPECT_EQ(core.effects.launches[1].address, "host:0");
+  core.list(0, Standing::kGone, kNow + 40);
+  EXPECT_EQ(core.effects.given_up, std::vector<Id>{core.effects.launches[0].id});
+}
+
 TEST(Core, IdleClientsMakeRoomAndOneTooManyIsPushedBackUnseen) {
   Core core(1, 20);
   for (Id client = 1; client <= 6; ++client)
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -270,6 +270,24 @@
   EXPECT_GE(host.subscriptions, 80);
 }
 
+// Discovery may be late with the first line of a watch: a call that is nearly served must not be given up for
+// a new one at the end of the queue.
+TEST(List, AWatchIsWaitedForHalfOfTheTimeAndNotAskedForAgainOnceItTells) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = true;
+  settings.ask_within = 10 * kSecond;
+  Recorder host;
+  Policy policy(settings, host, 1, kNow);
+  for (Time now = kNow; now < kNow + 5 * kSecond; now += kSecond / 4) policy.timer_due(now, 0);
+  EXPECT_EQ(host.subscriptions, 1);
+  policy.timer_due(kNow + 5 * kSecond, 0);
+  EXPECT_EQ(host.subscriptions, 2);
+  policy.executor_listed(kNow + 6 * kSecond, 0, 0, 0, 0, Standing::kReady, 0);
+  policy.roster_arrived(kNow + 6 * kSecond, RosterForm::kWhole);
+  for (Time now = kNow + 6 * kSecond; now < kNow + 60 * kSecond; now += kSecond) policy.timer_due(now, 0);
+  EXPECT_EQ(host.subscriptions, 2);
+}
+
 TEST(List, WithNothingRememberedItIsAskedForAtOnce) {
   Settings settings = small_settings();
   settings.ask_for_roster = true;
