The bound of a pause before a call to discovery stands once; an assignment of the default goes

Left: 'a word from a zone' is told at three places in the module (taken, begun, ended), as each may come alone.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -64,7 +64,6 @@
       work_(settings_.use_cases.size(), 1.0),
       work_weight_(settings_.use_cases.size(), 0.0) {
   // Not at once: what the node remembers of the roster is told first.
-  next_ask_ = now;
   host_.wake_at(now, kTickToken);
 }
 
@@ -129,7 +128,11 @@
 // second, which is what that one bore.
 Time Policy::asking_span() const {
   constexpr Time kTurn = kSecond / 20;
-  return std::clamp(settings_.replicas * kTurn, kSecond / 2, std::max(kSecond / 2, settings_.ask_within / 2));
+  return std::clamp(settings_.replicas * kTurn, kSecond / 2, longest_pause());
+}
+
+Time Policy::longest_pause() const {
+  return std::max(kSecond / 2, settings_.ask_within / 2);
 }
 
 // A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do
@@ -137,7 +140,7 @@
 // been told.
 void Policy::roster_refused(Time now) {
   subscribed_ = false;
-  ask_pause_ = std::clamp(2 * ask_pause_, asking_span(), std::max(kSecond / 2, settings_.ask_within / 2));
+  ask_pause_ = std::clamp(2 * ask_pause_, asking_span(), longest_pause());
   next_ask_ = now + from_seconds(seconds(ask_pause_) * (0.5 + uniform(random_)));
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -214,6 +214,7 @@
   void count_running(Executor& executor, const Submission& submission, const Launch& launch);
   void follow_list(Time now);
   Time asking_span() const;
+  Time longest_pause() const;
   void tick(Time now);
   double value_per_work(const Submission& submission) const;
   Time last_start(const Submission& submission, double chance) const;
