A key's data homes come first, and live weights are TPD's queue

Without start notes saw_wait() took the whole latency for a wait (close_launch), has_room() was always true, and nothing was ever held. Done: rendezvous ranks by the size in the list are the homes of a key; a fetch is TPD's delay l for all others; the list's live weight gives what is held for each core, of which what is beyond the slots is TPD's queue.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -70,7 +70,7 @@
 // --- Following the list ---
 
 void Policy::executor_listed(Time now, int index, int zone, int kind, int cell, Standing standing,
-                             Time started) {
+                             Time started, double weight, std::uint64_t identity) {
   for (int added = static_cast<int>(executors.size()); added <= index; ++added) {
     executors.emplace_back();
     order_.push_back(added);
@@ -93,6 +93,8 @@
   executor.zone = zone;
   executor.kind = kind;
   executor.cell = cell;
+  executor.identity = identity;
+  weigh(executor, weight);
   executor.standing = standing;
   executor.started = std::min(std::max(executor.started, started), now);
   if (cold(now, executor) && std::find(newcomers_.begin(), newcomers_.end(), index) == newcomers_.end())
@@ -100,6 +102,15 @@
   count_speed(executor, 1);
 }
 
+// A live weight is the size divided by 1 + what is held for each core. It comes late, but tells what all
+// nodes together have sent there.
+void Policy::weigh(Executor& executor, double weight) {
+  if (!settings_.live_weights || !std::isfinite(weight) || weight <= 0) return;
+  executor.size = std::max(executor.size, weight);
+  executor.held = executor.size / weight - 1;
+  executor.open_when_weighed = executor.open;
+}
+
 bool Policy::cold(Time now, const Executor& executor) const {
   return executor.started > 0 && now - executor.started < settings_.warm_up + settings_.fall_span;
 }
@@ -261,9 +272,21 @@
 // What a launch waits where nothing is queued: a handshake, jitter and a few beats of the clock.
 constexpr Time kNoQueue = kSecond / 40;
 
+// Seconds that one sent now is likely to wait there: what is held beyond its slots, in mean runs, where the
+// list tells it; else as the last one waited.
+double Policy::wait_at(Time now, Executor& executor) {
+  if (executor.held < 0) return executor.wait.read(now, wait_life());
+  const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
+  const double more = executor.open - executor.open_when_weighed + 1;
+  const double mean_work =
+      asked_work_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
+  return std::max(0.0, executor.held - 1 + more / width) * mean_work / speed_now(now, executor);
+}
+
 // Whether one sent now would begin in time if it waits like the last; a wait that is short enough undecayed
 // needs no reading.
-bool Policy::begins_by(Time now, Executor& executor, Time latest) const {
+bool Policy::begins_by(Time now, Executor& executor, Time latest) {
+  if (executor.held >= 0) return now + from_seconds(wait_at(now, executor)) <= latest;
   return now + from_seconds(executor.wait.value) <= latest ||
          now + from_seconds(executor.wait.read(now, wait_life())) <= latest;
 }
@@ -314,20 +337,62 @@
                           bool ask_health) {
   constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
   if (from.empty()) return;
-  const Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
-  // Whoever has launches behind it has few left, and none for one more look where nobody was.
-  const bool looks = submission.launches.empty();
   std::size_t at = random_() % from.size();
   for (std::size_t n = 0; n < from.size() && (n < kLooks || ready_.size() < kLeastReady); ++n) {
     const int i = from[at];
-    Executor& executor = executors[i];
     at = at + 1 < from.size() ? at + 1 : 0;
-    if (has_room(executor) &&
-        now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
-        begins_by(now, executor, latest) && may_launch(now, submission, i) &&
-        (!ask_health || (!tried(submission, i) && !doubted(now, executor) &&
-                         (executor.zone < 0 || !zones[executor.zone].left_out))))
-      ready_.push_back(i);
+    if (ready(now, submission, i, ask_health)) ready_.push_back(i);
+  }
+}
+
+bool Policy::ready(Time now, const Submission& submission, int i, bool ask_health) {
+  const Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
+  // Whoever has launches behind it has few left, and none for one more look where nobody was.
+  const bool looks = submission.launches.empty();
+  Executor& executor = executors[i];
+  return has_room(executor) &&
+         now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
+         begins_by(now, executor, latest) && may_launch(now, submission, i) &&
+         (!ask_health || (!tried(submission, i) && !doubted(now, executor) &&
+                          (executor.zone < 0 || !zones[executor.zone].left_out)));
+}
+
+std::uint64_t mixed(std::uint64_t value) {
+  value = (value ^ (value >> 31)) * 0x9e3779b97f4a7c15u;
+  value = (value ^ (value >> 29)) * 0xbf58476d1ce4e5b9u;
+  return value ^ (value >> 32);
+}
+
+// Rendezvous hashing by size.
+void Policy::rank_by_key(Time now, const Submission& submission) {
+  constexpr Time kKeyLife = 60 * kSecond;
+  ranks_.clear();
+  near_.clear();
+  double all = 0;
+  for (std::size_t i = 0; i < executors.size(); ++i) {
+    const Executor& executor = executors[i];
+    if (executor.standing != Standing::kReady) continue;
+    const double size = executor.size > 0 ? executor.size : 1;
+    const double u = (static_cast<double>(mixed(mixed(executor.identity) ^ submission.key) >> 11) + 0.5) /
+                     9007199254740992.0;
+    ranks_.emplace_back(-std::log(u) / size, static_cast<int>(i));
+    all += size;
+  }
+  std::sort(ranks_.begin(), ranks_.end());
+  double asked = 0, of_key = 0;
+  for (auto& [key, sum] : keys_) {
+    const double value = sum.read(now, kKeyLife);
+    asked += value;
+    if (key == submission.key) of_key = value;
+  }
+  const double share = asked > 0 ? std::max(0.0, of_key - cost(submission)) / asked : 0;
+  constexpr double kSlack = 1.5;
+  double sum = 0;
+  homes_ = 0;
+  for (const auto& [rank, i] : ranks_) {
+    near_.push_back(i);
+    if (sum <= kSlack * share * all) ++homes_;
+    sum += executors[i].size > 0 ? executors[i].size : 1;
   }
 }
 
@@ -347,11 +412,29 @@
 int Policy::pick(Time now, const Submission& submission) {
   const Time fade = wait_life();
   draw_zones(now);
-  find_ready(now, submission, true, true);
-  if (ready_.size() < kLeastReady && !(ready_.size() == 1 && keeps_to(now, submission, executors[ready_[0]])))
-    find_ready(now, submission, false, true);
-  // If every executor looks bad the work still flows.
-  if (ready_.empty()) find_ready(now, submission, false, false);
+  const double mean_work =
+      asked_work_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
+  constexpr double kFetch = 0.5;
+  const double fetch = submission.key == 0 ? 0 : kFetch * mean_work;
+  std::size_t at_home = 0;
+  ready_.clear();
+  if (submission.key != 0) {
+    rank_by_key(now, submission);
+    for (std::size_t n = 0; n < near_.size() && (n < homes_ || ready_.size() < kLeastReady); ++n) {
+      if (ready(now, submission, near_[n], true) && wait_at(now, executors[near_[n]]) <= 0.5 * mean_work)
+        ready_.push_back(near_[n]);
+      if (n < homes_) at_home = ready_.size();
+    }
+    if (at_home == 0 && !ready_.empty()) at_home = 1;
+  }
+  if (ready_.empty()) {
+    find_ready(now, submission, true, true);
+    if (ready_.size() < kLeastReady &&
+        !(ready_.size() == 1 && keeps_to(now, submission, executors[ready_[0]])))
+      find_ready(now, submission, false, true);
+    // If every executor looks bad the work still flows.
+    if (ready_.empty()) find_ready(now, submission, false, false);
+  }
   if (ready_.empty()) return -1;
   const double work = cost(submission);
   const double price = opening(now, submission);
@@ -360,7 +443,8 @@
   delays_.clear();
   for (const int i : ready_) {
     const double p = work / speed_now(now, executors[i]);
-    delays_.push_back(seconds(delay(executors[i])) + (connected(now, executors[i]) ? 0 : price));
+    delays_.push_back(seconds(delay(executors[i])) + (connected(now, executors[i]) ? 0 : price) +
+                      (delays_.size() < at_home ? 0 : fetch));
     chances_.push_back(work / (p + delays_.back()));
     sum += chances_.back();
   }
@@ -379,11 +463,11 @@
     }
     Executor& executor = executors[ready_[drawn]];
     const double v = speed_now(now, executor);
-    double queued = executor.open_cost / v;
-    if (executor.load.waiting >= 0)
+    double queued = executor.held < 0 ? executor.open_cost / v : 0;
+    if (executor.held < 0 && executor.load.waiting >= 0)
       queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
                 std::exp(-static_cast<double>(now - executor.load_at) / static_cast<double>(fade));
-    queued += executor.wait.read(now, fade);
+    queued += wait_at(now, executor);
     const double finish = queued + work / v + delays_[drawn];
     if (best < 0 || finish < least) {
       best = ready_[drawn];
@@ -564,7 +648,7 @@
   --executor.open;
   executor.open_cost = executor.open == 0 ? 0 : executor.open_cost - launch.cost;
   if (launch.began < 0) {
-    saw_wait(now, launch);
+    if (settings_.tells_start) saw_wait(now, launch);
     --executor.unstarted;
   } else {
     executor.running_width -= submission.width;
@@ -721,7 +805,8 @@
 
 // --- What happens ---
 
-void Policy::submission_arrived(Time now, int index, int use_case, Time due, double hint, int width) {
+void Policy::submission_arrived(Time now, int index, int use_case, Time due, double hint, int width,
+                                std::uint64_t key) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
   Submission& submission = submissions[index];
   submission = Submission{};
@@ -730,11 +815,17 @@
   submission.use_case = use_case;
   submission.width = width;
   submission.hint = hint;
+  submission.key = key;
   submission.arrived = now;
   submission.due = due;
   arrivals_.add(now, kHealthLife, 1);
   asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
+  if (key != 0) {
+    auto found = std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == key; });
+    if (found == keys_.end()) found = keys_.insert(keys_.end(), {key, DecayingSum{}});
+    found->second.add(now, 60 * kSecond, cost(submission));
+  }
   wake(due - 2 * settings_.quantum, index);
   place(now, index);
 }
@@ -911,6 +1002,8 @@
   if (load == nullptr) return;
   executor.load = *load;
   executor.load_at = now;
+  if (executor.kind >= 0)
+    widest[executor.kind] = std::max(widest[executor.kind], std::floor(std::min(load->free_slots, 1e6)));
   executor.unstarted_at_load = executor.unstarted;
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -62,6 +62,7 @@
   Time longest_stay_away = 0;  // 0: clients are not told when to come back
   bool tells_taken = false;    // that an executor has a submission, be it in its queue
   bool tells_start = false;
+  bool live_weights = false;  // the list's weights fall with what an executor holds
   Time progress_every = 0;
   double cold_from = 1;
   Time warm_up = 0;
@@ -72,7 +73,7 @@
 
 // What an executor last said of its load; negative: not reported.
 struct Load {
-  double waiting = -1;
+  double waiting = -1, free_slots = -1;
 };
 
 // A sum whose parts lose weight with time: by 1/e every `life`. Brought up to date when read.
@@ -88,6 +89,10 @@
   std::uint64_t listed = 0;  // the last list that named it
   Standing standing = Standing::kGone;
   int zone = 0, kind = 0, cell = 0;
+  std::uint64_t identity = 0;  // the same at all nodes
+  double size = 0;             // the most that the list has weighed it
+  double held = -1;            // submissions for each core there when it was last weighed; negative: not told
+  int open_when_weighed = 0;
   Time started = 0;               // 0: long ago
   double work = 0, latency = 0;   // smoothed, of satisfied launches; their ratio is the speed
   DecayingSum good, bad;          // outcomes, for the posterior of its chance of success
@@ -125,6 +130,7 @@
   std::uint32_t serial = 0;
   int use_case = 0, width = 1;
   double hint = 0;
+  std::uint64_t key = 0;  // of the data that it needs; 0: none
   Time arrived = 0, due = 0;
   std::vector<Launch> launches;
 };
@@ -147,12 +153,14 @@
   Policy(Settings settings, Host& host, std::uint32_t seed, Time now);
 
   // The roster: one call for each entry, then one that closes the list.
-  void executor_listed(Time now, int executor, int zone, int kind, int cell, Standing standing, Time started);
+  void executor_listed(Time now, int executor, int zone, int kind, int cell, Standing standing, Time started,
+                       double weight = -1, std::uint64_t identity = 0);
   void roster_arrived(Time now, RosterForm form);
   void roster_refused(Time now);
   void roster_moved(Time now);  // it is to be had elsewhere
 
-  void submission_arrived(Time now, int submission, int use_case, Time due, double hint, int width);
+  void submission_arrived(Time now, int submission, int use_case, Time due, double hint, int width,
+                          std::uint64_t key = 0);
   void launch_taken(Time now, int submission, int launch);
   void launch_started(Time now, int submission, int launch);
   void launch_progressed(Time now, int submission, int launch, double share_done);
@@ -243,7 +251,11 @@
   void look_through(Time now, const Submission& submission, const std::vector<int>& from, bool ask_health);
   bool keeps_to(Time now, const Submission& submission, Executor& executor);
   bool cold(Time now, const Executor& executor) const;
-  bool begins_by(Time now, Executor& executor, Time latest) const;
+  double wait_at(Time now, Executor& executor);
+  bool begins_by(Time now, Executor& executor, Time latest);
+  bool ready(Time now, const Submission& submission, int executor, bool ask_health);
+  void rank_by_key(Time now, const Submission& submission);
+  void weigh(Executor& executor, double weight);
   bool doubted(Time now, Executor& executor);
   void take_load(Time now, Executor& executor, const Load* load);
 
@@ -264,9 +276,12 @@
   Time overload_seen_ = -kNever;
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
-  std::vector<int> order_;                // all executors, as this node goes through them
-  std::vector<int> newcomers_;            // those that were cold when they were listed, and may be still
-  std::vector<int> near_, ready_;         // scratch of pick
+  std::vector<int> order_;                     // all executors, as this node goes through them
+  std::vector<int> newcomers_;                 // those that were cold when they were listed, and may be still
+  std::vector<int> near_, ready_;              // scratch of pick
+  std::vector<std::pair<double, int>> ranks_;  // scratch of pick
+  std::vector<std::pair<std::uint64_t, DecayingSum>> keys_;  // work asked of late for each key
+  std::size_t homes_ = 0;                 // scratch of pick: how many at the front of near_ keep the key
   std::vector<double> chances_, delays_;  // scratch of pick
 };
 
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -167,11 +167,11 @@
                                                  : Standing::kGone;
     const Value& zone = at(row, 1);
     const Value& kind = at(row, 2);
-    policy_->executor_listed(now, found->second,
-                             zone.IsString() ? index_of(terms_.zones, text(zone, "zone")) : -1,
-                             kind.IsString() ? index_of(terms_.machine_kinds, text(kind, "kind")) : -1,
-                             static_cast<int>(number_or(at(row, 3), -1, "unitGroup")), standing,
-                             to_time(number_or(at(row, 6), 0, "launched")));
+    policy_->executor_listed(
+        now, found->second, zone.IsString() ? index_of(terms_.zones, text(zone, "zone")) : -1,
+        kind.IsString() ? index_of(terms_.machine_kinds, text(kind, "kind")) : -1,
+        static_cast<int>(number_or(at(row, 3), -1, "unitGroup")), standing,
+        to_time(number_or(at(row, 6), 0, "launched")), number_or(at(row, 5), -1, "powerHint"), id);
   }
   policy_->roster_arrived(now, form == "all"          ? RosterForm::kWhole
                                : form == "remembered" ? RosterForm::kRemembered
@@ -196,7 +196,8 @@
   submissions_[id] = index;
   policy_->submission_arrived(now, index, use_case, due,
                               (attrs & 1) != 0 ? number_or(hint, 0, "workHint") : 0,
-                              static_cast<int>(number_or(at(message, 8), 1, "width")));
+                              static_cast<int>(number_or(at(message, 8), 1, "width")),
+                              at(message, 5).IsNull() ? 0 : whole(at(message, 5), "item"));
   release_if_over(index);
 }
 
@@ -204,6 +205,7 @@
   if (!report.IsArray()) return nullptr;
   for (rapidjson::SizeType i = 0; i < report.Size() && i < terms_.report_fields.size(); ++i) {
     if (report[i].IsNumber() && terms_.report_fields[i] == "backlog") into.waiting = report[i].GetDouble();
+    if (report[i].IsNumber() && terms_.report_fields[i] == "x0") into.free_slots = report[i].GetDouble();
   }
   return &into;
 }
