--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -45,6 +45,7 @@
   const JsonValue& kind = member(domain, "classKind");
   UseCase u;
   u.agreed_time = to_time(positive(from, "agreedTime"));
+  u.hard_limit = to_time(positive(from, "hardLimit"));
   u.stretch = setting(from, "aimStretch", 0);
   if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
   if (kind.IsArray() && i < kind.Size())
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -11,6 +11,27 @@
 //   5. cold budget                cold_budget(), wins_cold_start()
 //   6. following the list         follow_list()
 #include "policy.h"
+#ifndef V_BOUND
+#define V_BOUND 0.5
+#endif
+#ifndef V_SLACK
+#define V_SLACK 1.5
+#endif
+#ifndef V_FETCH
+#define V_FETCH 0.5
+#endif
+#ifndef V_AGE
+#define V_AGE 1
+#endif
+#ifndef V_COMMON
+#define V_COMMON 1
+#endif
+#ifndef V_CPART
+#define V_CPART 1.0
+#endif
+#ifndef V_SEEN
+#define V_SEEN 0
+#endif
 
 #include <algorithm>
 #include <cmath>
@@ -286,11 +307,14 @@
 // list tells it; else as the last one waited.
 double Policy::wait_at(Time now, Executor& executor) {
   if (executor.held < 0) return executor.wait.read(now, wait_life());
+#if V_SEEN
+  const double seen = executor.wait.read(now, wait_life());
+#else
+  const double seen = 0;
+#endif
   const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
   const double more = executor.open - executor.open_when_weighed + 1;
-  const double mean_work =
-      asked_work_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
-  return std::max(0.0, executor.held - 1 + more / width) * mean_work / speed_now(now, executor);
+  return std::max(seen, std::max(0.0, executor.held - 1 + more / width) * mean_work_ / speed_now(now, executor));
 }
 
 // Whether one sent now would begin in time if it waits like the last; a wait that is short enough undecayed
@@ -356,7 +380,8 @@
 }
 
 bool Policy::ready(Time now, const Submission& submission, int i, bool ask_health) {
-  const Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
+  Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
+  if (V_COMMON && executors[i].held >= 0) latest = std::min(latest, now + shortest_leeway());
   // Whoever has launches behind it has few left, and none for one more look where nobody was.
   const bool looks = submission.launches.empty();
   Executor& executor = executors[i];
@@ -367,6 +392,16 @@
                           (executor.zone < 0 || !zones[executor.zone].left_out)));
 }
 
+// What may wait where all wait in one order: no longer than what can stand the least.
+Time Policy::shortest_leeway() const {
+  Time least = kNever;
+  for (std::size_t i = 0; i < settings_.use_cases.size(); ++i) {
+    const UseCase& use_case = settings_.use_cases[i];
+    least = std::min(least, from_seconds(V_CPART * (seconds(use_case.agreed_time) + work_[i] * std::max(0.1, use_case.stretch - 1 / mean_speed()) * std::log(1 / kGiveWayChance))));
+  }
+  return least;
+}
+
 std::uint64_t mixed(std::uint64_t value) {
   value = (value ^ (value >> 31)) * 0x9e3779b97f4a7c15u;
   value = (value ^ (value >> 29)) * 0xbf58476d1ce4e5b9u;
@@ -396,7 +431,7 @@
     if (key == submission.key) of_key = value;
   }
   const double share = asked > 0 ? std::max(0.0, of_key - cost(submission)) / asked : 0;
-  constexpr double kSlack = 1.5;
+  constexpr double kSlack = V_SLACK;
   double sum = 0;
   homes_ = 0;
   for (const auto& [rank, i] : ranks_) {
@@ -422,16 +457,14 @@
 int Policy::pick(Time now, const Submission& submission) {
   const Time fade = wait_life();
   draw_zones(now);
-  const double mean_work =
-      asked_work_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
-  constexpr double kFetch = 0.5;
-  const double fetch = submission.key == 0 ? 0 : kFetch * mean_work;
+  constexpr double kFetch = V_FETCH;
+  const double fetch = submission.key == 0 ? 0 : kFetch * mean_work_;
   std::size_t at_home = 0;
   ready_.clear();
   if (submission.key != 0) {
     rank_by_key(now, submission);
     for (std::size_t n = 0; n < near_.size() && (n < homes_ || ready_.size() < kLeastReady); ++n) {
-      if (ready(now, submission, near_[n], true) && wait_at(now, executors[near_[n]]) <= 0.5 * mean_work)
+      if (ready(now, submission, near_[n], true) && wait_at(now, executors[near_[n]]) <= V_BOUND * mean_work_)
         ready_.push_back(near_[n]);
       if (n < homes_) at_home = ready_.size();
     }
@@ -827,10 +860,15 @@
   submission.hint = hint;
   submission.key = key;
   submission.arrived = now;
+  // A node that stood still finds what came meanwhile. Where clients wait for the whole hard limit, what is left
+  // of it tells how long ago that was; one that is left with less than half is a client of little patience.
+  const Time limit = settings_.use_cases[use_case].hard_limit;
+  if (V_AGE && settings_.live_weights && limit > 0 && due - now > limit / 2) submission.arrived = std::min(now, due - limit);
   submission.due = due;
   arrivals_.add(now, kHealthLife, 1);
   asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
+  mean_work_ = asked_work_.value / arrivals_.value;
   if (key != 0) {
     auto found = std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == key; });
     if (found == keys_.end()) found = keys_.insert(keys_.end(), {key, DecayingSum{}});
--- a/src/policy.h
+++ b/src/policy.h
@@ -35,6 +35,7 @@
 
 struct UseCase {
   Time agreed_time = kSecond;
+  Time hard_limit = 0;  // 0: not told
   double stretch = 0;  // the agreed time grows by this multiple of the submission's own work
   double billing_value = 1;
   double overdue_value = 0;  // the part of it that an answer after the agreed time still earns
@@ -255,6 +256,7 @@
   double wait_at(Time now, Executor& executor);
   bool begins_by(Time now, Executor& executor, Time latest);
   bool ready(Time now, const Submission& submission, int executor, bool ask_health);
+  Time shortest_leeway() const;
   void rank_by_key(Time now, const Submission& submission);
   void weigh(Executor& executor, double weight);
   bool doubted(Time now, Executor& executor);
@@ -270,6 +272,7 @@
   DecayingSum asked_value_, asked_work_;    // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
   DecayingSum taken_wait_, taken_;          // seconds until they were taken, and how many
+  double mean_work_ = 1;                    // of what is asked of late
   double speed_sum_ = 0;                    // of the ready executors whose speed is known
   int speed_count_ = 0;
   std::uint64_t list_ = 0;  // counts the lists, to tell who is absent from a whole one
