--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -11,6 +11,21 @@
 //   5. cold budget                cold_budget(), wins_cold_start()
 //   6. following the list         follow_list()
 #include "policy.h"
+#ifndef V_LAZY
+#define V_LAZY 1
+#endif
+#ifndef V_BACK
+#define V_BACK 1
+#endif
+#ifndef V_RB
+#define V_RB 1.0
+#endif
+#ifndef V_RP
+#define V_RP 1.0
+#endif
+#ifndef V_DM
+#define V_DM 1.0
+#endif
 #ifndef V_BOUND
 #define V_BOUND 0.5
 #endif
@@ -130,6 +145,27 @@
   executor.size = std::max(executor.size, weight);
   executor.held = executor.size / weight - 1;
   executor.open_when_weighed = executor.open;
+  ++weighed_;
+}
+
+// What all nodes together may send until the next weights come: up to a queue that the most urgent can stand,
+// and what is done meanwhile. Where more is asked for, this node takes its share of it: with the same list all
+// saw the same room, and queues were full a moment later.
+void Policy::share_room(Time now) {
+  if (weighed_ * 2 < static_cast<int>(executors.size())) return;
+  weighed_ = 0;
+  const double period = std::min(2.0, seconds(now - shared_at_));
+  shared_at_ = now;
+  const double wait = V_RB * seconds(leeway_) + V_RP * period;
+  double room = 0;
+  for (const Executor& executor : executors) {
+    if (executor.standing != Standing::kReady || executor.held < 0) continue;
+    const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
+    room += width * std::max(0.0, 1 + wait * speed_now(now, executor) / mean_work_ - executor.held);
+  }
+  const double demand = static_cast<double>(held_.size()) + arrivals_.read(now, kHealthLife) / seconds(kHealthLife) * period;
+  const double ours = room / settings_.replicas;
+  our_room_ = demand <= V_DM * ours ? 1e9 : std::floor(ours + uniform(random_));
 }
 
 bool Policy::cold(Time now, const Executor& executor) const {
@@ -151,6 +187,7 @@
     // Nodes start together, and what is remembered is as good as a list that comes some seconds later.
     next_ask_ = now + from_seconds(seconds(asking_span()) * uniform(random_));
   }
+  share_room(now);
   serve_held(now);
 }
 
@@ -381,7 +418,7 @@
 
 bool Policy::ready(Time now, const Submission& submission, int i, bool ask_health) {
   Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
-  if (V_COMMON && executors[i].held >= 0) latest = std::min(latest, now + shortest_leeway());
+  if (V_COMMON && executors[i].held >= 0) latest = std::min(latest, now + leeway_);
   // Whoever has launches behind it has few left, and none for one more look where nobody was.
   const bool looks = submission.launches.empty();
   Executor& executor = executors[i];
@@ -456,6 +493,7 @@
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
   const Time fade = wait_life();
+  if (our_room_ < 1) return -1;
   draw_zones(now);
   constexpr double kFetch = V_FETCH;
   const double fetch = submission.key == 0 ? 0 : kFetch * mean_work_;
@@ -677,6 +715,7 @@
   const int needed = (executor.open + settings_.streams - 1) / settings_.streams;
   executor.connections = std::max(executor.connections, needed);
   ++executor.unstarted;
+  our_room_ -= 1;
   executor.open_cost += launch.cost;
   std::erase_if(executor.cold_sends,
                 [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
@@ -803,10 +842,11 @@
 // be satisfied in time are answered at once.
 void Policy::serve_held(Time now) {
   if (held_.empty()) return;
-  for (const int index : std::vector<int>(held_))
+  if (!V_LAZY || now >= held_look_) for (const int index : std::vector<int>(held_))
     if (now >= keep_until(now, submissions[index])) end(now, index, true);
+  if (our_room_ < 1) return;
   if (std::none_of(executors.begin(), executors.end(),
-                   [&](const Executor& e) { return e.standing == Standing::kReady && has_room(e); }))
+                   [&](Executor& e) { return e.standing == Standing::kReady && has_room(e) && (e.held < 0 || begins_by(now, e, now + std::max(kNoQueue, leeway_))); }))
     return;
   std::vector<std::pair<double, int>> order;
   for (const int index : held_) {
@@ -819,6 +859,7 @@
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [key, index] : order) {
+    if (our_room_ < 1) break;
     const int to = pick(now, submissions[index]);
     if (to < 0) continue;
     let_go(index);
@@ -869,6 +910,7 @@
   asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   mean_work_ = asked_work_.value / arrivals_.value;
+  leeway_ = shortest_leeway();
   if (key != 0) {
     auto found = std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == key; });
     if (found == keys_.end()) found = keys_.insert(keys_.end(), {key, DecayingSum{}});
@@ -1067,6 +1109,7 @@
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
+  if (V_BACK) our_room_ += 1;
   close_launch(now, submission, launch);
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
--- a/src/policy.h
+++ b/src/policy.h
@@ -257,6 +257,7 @@
   bool begins_by(Time now, Executor& executor, Time latest);
   bool ready(Time now, const Submission& submission, int executor, bool ask_health);
   Time shortest_leeway() const;
+  void share_room(Time now);
   void rank_by_key(Time now, const Submission& submission);
   void weigh(Executor& executor, double weight);
   bool doubted(Time now, Executor& executor);
@@ -272,6 +273,10 @@
   DecayingSum asked_value_, asked_work_;    // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
   DecayingSum taken_wait_, taken_;          // seconds until they were taken, and how many
+  int weighed_ = 0;
+  Time shared_at_ = 0;
+  double our_room_ = 1e9;
+  Time leeway_ = kNever;
   double mean_work_ = 1;                    // of what is asked of late
   double speed_sum_ = 0;                    // of the ready executors whose speed is known
   int speed_count_ = 0;
