--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -15,13 +15,13 @@
 #define V_LAZY 1
 #endif
 #ifndef V_BACK
-#define V_BACK 1
+#define V_BACK 2
 #endif
 #ifndef V_RB
-#define V_RB 1.0
+#define V_RB 0.5
 #endif
 #ifndef V_RP
-#define V_RP 1.0
+#define V_RP 0
 #endif
 #ifndef V_DM
 #define V_DM 1.0
@@ -1109,7 +1109,7 @@
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
-  if (V_BACK) our_room_ += 1;
+  if (V_BACK == 1 || (V_BACK == 2 && executors[launch.executor].held >= 0 && executors[launch.executor].held <= 1 + V_RB * seconds(leeway_) / mean_work_ * speed(executors[launch.executor]))) our_room_ += 1;
   close_launch(now, submission, launch);
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
