--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,13 +27,13 @@
 #define V_DM 1.0
 #endif
 #ifndef V_BOUND
-#define V_BOUND 0.5
+#define V_BOUND 1.0
 #endif
 #ifndef V_SLACK
-#define V_SLACK 1.5
+#define V_SLACK 1.3
 #endif
 #ifndef V_FETCH
-#define V_FETCH 0.5
+#define V_FETCH 0.7
 #endif
 #ifndef V_AGE
 #define V_AGE 1
