--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -11,6 +11,15 @@
 //   5. cold budget                cold_budget(), wins_cold_start()
 //   6. following the list         follow_list()
 #include "policy.h"
+#ifndef V_PASS2
+#define V_PASS2 1
+#endif
+#ifndef V_REL
+#define V_REL 0
+#endif
+#ifndef V_COLDV
+#define V_COLDV 0
+#endif
 #ifndef V_LAZY
 #define V_LAZY 1
 #endif
@@ -157,14 +166,17 @@
   const double period = std::min(2.0, seconds(now - shared_at_));
   shared_at_ = now;
   const double wait = V_RB * seconds(leeway_) + V_RP * period;
-  double room = 0;
-  for (const Executor& executor : executors) {
+  double room = 0, waits = 0, count = 0;
+  for (Executor& executor : executors) {
     if (executor.standing != Standing::kReady || executor.held < 0) continue;
     const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
+    ++count;
+    waits += wait_at(now, executor);
     room += width * std::max(0.0, 1 + wait * speed_now(now, executor) / mean_work_ - executor.held);
   }
   const double demand = static_cast<double>(held_.size()) + arrivals_.read(now, kHealthLife) / seconds(kHealthLife) * period;
   const double ours = room / settings_.replicas;
+  mean_wait_ = waits / std::max(1.0, count);
   our_room_ = demand <= V_DM * ours ? 1e9 : std::floor(ours + uniform(random_));
 }
 
@@ -263,7 +275,11 @@
 // late.
 double Policy::speed_now(Time now, const Executor& executor) const {
   constexpr double kWeight = 0.2;  // as for one that has ended
-  const double v = speed(executor);
+  double v = speed(executor);
+  if (V_COLDV && executor.held >= 0 && cold(now, executor)) {
+    const double warm = settings_.warm_up > 0 ? std::clamp(seconds(now - executor.started) / seconds(settings_.warm_up), 0.0, 1.0) : 1.0;
+    v *= settings_.cold_from + (1 - settings_.cold_from) * warm;
+  }
   const int running = executor.open - executor.unstarted;
   if (running == 0) return v;
   const double over = running * seconds(now) - executor.running_since - executor.running_cost / v;
@@ -501,8 +517,9 @@
   ready_.clear();
   if (submission.key != 0) {
     rank_by_key(now, submission);
+    for (int pass = 0; pass < (V_PASS2 ? 2 : 1) && ready_.empty(); ++pass)
     for (std::size_t n = 0; n < near_.size() && (n < homes_ || ready_.size() < kLeastReady); ++n) {
-      if (ready(now, submission, near_[n], true) && wait_at(now, executors[near_[n]]) <= V_BOUND * mean_work_)
+      if (ready(now, submission, near_[n], true) && (pass == 1 || wait_at(now, executors[near_[n]]) <= V_BOUND * mean_work_ + V_REL * mean_wait_))
         ready_.push_back(near_[n]);
       if (n < homes_) at_home = ready_.size();
     }
--- a/src/policy.h
+++ b/src/policy.h
@@ -275,7 +275,7 @@
   DecayingSum taken_wait_, taken_;          // seconds until they were taken, and how many
   int weighed_ = 0;
   Time shared_at_ = 0;
-  double our_room_ = 1e9;
+  double our_room_ = 1e9, mean_wait_ = 0;
   Time leeway_ = kNever;
   double mean_work_ = 1;                    // of what is asked of late
   double speed_sum_ = 0;                    // of the ready executors whose speed is known
