--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -11,51 +11,6 @@
 //   5. cold budget                cold_budget(), wins_cold_start()
 //   6. following the list         follow_list()
 #include "policy.h"
-#ifndef V_PASS2
-#define V_PASS2 1
-#endif
-#ifndef V_REL
-#define V_REL 0
-#endif
-#ifndef V_COLDV
-#define V_COLDV 0
-#endif
-#ifndef V_LAZY
-#define V_LAZY 1
-#endif
-#ifndef V_BACK
-#define V_BACK 2
-#endif
-#ifndef V_RB
-#define V_RB 0.5
-#endif
-#ifndef V_RP
-#define V_RP 0
-#endif
-#ifndef V_DM
-#define V_DM 1.0
-#endif
-#ifndef V_BOUND
-#define V_BOUND 1.0
-#endif
-#ifndef V_SLACK
-#define V_SLACK 1.3
-#endif
-#ifndef V_FETCH
-#define V_FETCH 0.7
-#endif
-#ifndef V_AGE
-#define V_AGE 1
-#endif
-#ifndef V_COMMON
-#define V_COMMON 1
-#endif
-#ifndef V_CPART
-#define V_CPART 1.0
-#endif
-#ifndef V_SEEN
-#define V_SEEN 0
-#endif
 
 #include <algorithm>
 #include <cmath>
@@ -83,6 +38,7 @@
 // Often enough to ask for the list again in time, seldom enough to cost nothing.
 constexpr Time kTick = kSecond / 4;
 constexpr int kIndexBits = 24;
+constexpr double kPlenty = 1e9;  // of room
 // A start that leaves less than this chance to be in time is not worth its place in a crowded fleet. Between
 // 0.7 and 0.85 all deployments fare alike; 0.5 and 0.3 are worse.
 constexpr double kGiveWayChance = 0.8;
@@ -129,7 +85,7 @@
     executor.good = executor.bad = DecayingSum{};
     executor.away_until = executor.away = 0;
     word_from(executor);
-    executor.load = Load{};
+    executor.held = -1;
     executor.cold_sends.clear();
   }
   count_speed(executor, -1);
@@ -151,33 +107,45 @@
 // nodes together have sent there.
 void Policy::weigh(Executor& executor, double weight) {
   if (!settings_.live_weights || !std::isfinite(weight) || weight <= 0) return;
+  const double before = std::exchange(executor.weight, weight);
+  if (weight == before) return;
+  // One that jumps counts once it is told again: a size that is far too large would leave no room there.
+  constexpr double kMostJump = 4;
+  if (before > 0 && weight > kMostJump * std::max(executor.size, before)) return;
   executor.size = std::max(executor.size, weight);
   executor.held = executor.size / weight - 1;
   executor.open_when_weighed = executor.open;
-  ++weighed_;
+  weighed_ = true;
 }
 
-// What all nodes together may send until the next weights come: up to a queue that the most urgent can stand,
-// and what is done meanwhile. Where more is asked for, this node takes its share of it: with the same list all
-// saw the same room, and queues were full a moment later.
+constexpr Time kFresh = 5 * kSecond;  // weights come every second or so
+
+bool Policy::tells_held(Time now, const Executor& executor) const {
+  return executor.held >= 0 && now - shared_at_ < kFresh;
+}
+
+// How long a queue the list may show before there is no room: half of what the most urgent use case can wait,
+// as what is sent until the next list is on its way already. A quarter and all of it lose.
+double Policy::most_held(Time now, const Executor& executor) const {
+  constexpr double kPart = 0.5;
+  return 1 + kPart * seconds(leeway_) / mean_work_ * speed_now(now, executor);
+}
+
+// All nodes see the same room in the same list, late: queues were full a moment after. So where more is asked
+// for than there is, this node sends no more than its part of it, and what ends gives its place back.
 void Policy::share_room(Time now) {
-  if (weighed_ * 2 < static_cast<int>(executors.size())) return;
-  weighed_ = 0;
+  constexpr double kCrowded = 1.5;  // 1 and 2 fare alike
+  if (!std::exchange(weighed_, false)) return;
   const double period = std::min(2.0, seconds(now - shared_at_));
   shared_at_ = now;
-  const double wait = V_RB * seconds(leeway_) + V_RP * period;
-  double room = 0, waits = 0, count = 0;
-  for (Executor& executor : executors) {
-    if (executor.standing != Standing::kReady || executor.held < 0) continue;
-    const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
-    ++count;
-    waits += wait_at(now, executor);
-    room += width * std::max(0.0, 1 + wait * speed_now(now, executor) / mean_work_ - executor.held);
-  }
-  const double demand = static_cast<double>(held_.size()) + arrivals_.read(now, kHealthLife) / seconds(kHealthLife) * period;
-  const double ours = room / settings_.replicas;
-  mean_wait_ = waits / std::max(1.0, count);
-  our_room_ = demand <= V_DM * ours ? 1e9 : std::floor(ours + uniform(random_));
+  double room = 0;
+  for (const Executor& executor : executors)
+    if (executor.standing == Standing::kReady && executor.held >= 0)
+      room += width(executor) * std::max(0.0, most_held(now, executor) - executor.held);
+  room /= settings_.replicas;
+  const double asked =
+      static_cast<double>(held_.size()) + arrivals_.read(now, kHealthLife) / seconds(kHealthLife) * period;
+  room_ = asked <= kCrowded * room ? kPlenty : std::floor(room + uniform(random_));
 }
 
 bool Policy::cold(Time now, const Executor& executor) const {
@@ -275,11 +243,7 @@
 // late.
 double Policy::speed_now(Time now, const Executor& executor) const {
   constexpr double kWeight = 0.2;  // as for one that has ended
-  double v = speed(executor);
-  if (V_COLDV && executor.held >= 0 && cold(now, executor)) {
-    const double warm = settings_.warm_up > 0 ? std::clamp(seconds(now - executor.started) / seconds(settings_.warm_up), 0.0, 1.0) : 1.0;
-    v *= settings_.cold_from + (1 - settings_.cold_from) * warm;
-  }
+  const double v = speed(executor);
   const int running = executor.open - executor.unstarted;
   if (running == 0) return v;
   const double over = running * seconds(now) - executor.running_since - executor.running_cost / v;
@@ -357,23 +321,21 @@
 constexpr Time kNoQueue = kSecond / 40;
 
 // Seconds that one sent now is likely to wait there: what is held beyond its slots, in mean runs, where the
-// list tells it; else as the last one waited.
+// list tells it; else as the last one waited. The longer of the two loses where both are told.
 double Policy::wait_at(Time now, Executor& executor) {
-  if (executor.held < 0) return executor.wait.read(now, wait_life());
-#if V_SEEN
-  const double seen = executor.wait.read(now, wait_life());
-#else
-  const double seen = 0;
-#endif
-  const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
+  if (!tells_held(now, executor)) return executor.wait.read(now, wait_life());
   const double more = executor.open - executor.open_when_weighed + 1;
-  return std::max(seen, std::max(0.0, executor.held - 1 + more / width) * mean_work_ / speed_now(now, executor));
+  return std::max(0.0, executor.held - 1 + more / width(executor)) * mean_work_ / speed_now(now, executor);
+}
+
+double Policy::width(const Executor& executor) const {
+  return executor.kind >= 0 ? widest[executor.kind] : 1.0;
 }
 
 // Whether one sent now would begin in time if it waits like the last; a wait that is short enough undecayed
 // needs no reading.
 bool Policy::begins_by(Time now, Executor& executor, Time latest) {
-  if (executor.held >= 0) return now + from_seconds(wait_at(now, executor)) <= latest;
+  if (tells_held(now, executor)) return now + from_seconds(wait_at(now, executor)) <= latest;
   return now + from_seconds(executor.wait.value) <= latest ||
          now + from_seconds(executor.wait.read(now, wait_life())) <= latest;
 }
@@ -434,7 +396,7 @@
 
 bool Policy::ready(Time now, const Submission& submission, int i, bool ask_health) {
   Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
-  if (V_COMMON && executors[i].held >= 0) latest = std::min(latest, now + leeway_);
+  if (tells_held(now, executors[i])) latest = std::min(latest, now + leeway_);
   // Whoever has launches behind it has few left, and none for one more look where nobody was.
   const bool looks = submission.launches.empty();
   Executor& executor = executors[i];
@@ -445,12 +407,14 @@
                           (executor.zone < 0 || !zones[executor.zone].left_out)));
 }
 
-// What may wait where all wait in one order: no longer than what can stand the least.
+// How long anything may wait in a queue that all share: as long as the most urgent use case can.
 Time Policy::shortest_leeway() const {
   Time least = kNever;
   for (std::size_t i = 0; i < settings_.use_cases.size(); ++i) {
-    const UseCase& use_case = settings_.use_cases[i];
-    least = std::min(least, from_seconds(V_CPART * (seconds(use_case.agreed_time) + work_[i] * std::max(0.1, use_case.stretch - 1 / mean_speed()) * std::log(1 / kGiveWayChance))));
+    Submission usual;
+    usual.use_case = static_cast<int>(i);
+    usual.due = kNever;
+    least = std::min(least, last_start(usual, kGiveWayChance));
   }
   return least;
 }
@@ -461,37 +425,65 @@
   return value ^ (value >> 32);
 }
 
-// Rendezvous hashing by size.
-void Policy::rank_by_key(Time now, const Submission& submission) {
-  constexpr Time kKeyLife = 60 * kSecond;
+// Popularity is learned from little traffic, so long; more keys than this cost more than they tell.
+constexpr Time kKeyLife = 60 * kSecond;
+constexpr std::size_t kMostKeys = 1024;
+
+void Policy::count_key(Time now, std::uint64_t key, double work) {
+  keyed_work_.add(now, kKeyLife, work);
+  auto found = std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == key; });
+  if (found == keys_.end()) {
+    if (keys_.size() >= kMostKeys) keys_.erase(keys_.begin());
+    found = keys_.insert(keys_.end(), {key, DecayingSum{}});
+  }
+  found->second.add(now, kKeyLife, work);
+}
+
+// Where executors keep data, every node has to send a key's work to the same few, though none tells another:
+// rendezvous hashing by the list's sizes puts all in an order, near_, of which the first are the key's homes:
+// as many as its part of the work calls for.
+std::size_t Policy::rank_by_key(Time now, const Submission& submission) {
   ranks_.clear();
-  near_.clear();
   double all = 0;
   for (std::size_t i = 0; i < executors.size(); ++i) {
     const Executor& executor = executors[i];
-    if (executor.standing != Standing::kReady) continue;
-    const double size = executor.size > 0 ? executor.size : 1;
-    const double u = (static_cast<double>(mixed(mixed(executor.identity) ^ submission.key) >> 11) + 0.5) /
-                     9007199254740992.0;
-    ranks_.emplace_back(-std::log(u) / size, static_cast<int>(i));
-    all += size;
+    if (executor.standing != Standing::kReady || executor.size <= 0) continue;
+    constexpr double kScale = 1.0 / (1ull << 53);
+    const double u = static_cast<double>(mixed(mixed(executor.identity) ^ submission.key) >> 11) + 0.5;
+    ranks_.emplace_back(-std::log(u * kScale) / executor.size, static_cast<int>(i));
+    all += executor.size;
   }
   std::sort(ranks_.begin(), ranks_.end());
-  double asked = 0, of_key = 0;
-  for (auto& [key, sum] : keys_) {
-    const double value = sum.read(now, kKeyLife);
-    asked += value;
-    if (key == submission.key) of_key = value;
-  }
-  const double share = asked > 0 ? std::max(0.0, of_key - cost(submission)) / asked : 0;
-  constexpr double kSlack = V_SLACK;
+  const auto found =
+      std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == submission.key; });
+  double part = 0;  // without this one: a key seen once is not popular
+  if (found != keys_.end())
+    part = (found->second.read(now, kKeyLife) - cost(submission)) / keyed_work_.read(now, kKeyLife);
+  near_.clear();
+  std::size_t homes = 0;
   double sum = 0;
-  homes_ = 0;
   for (const auto& [rank, i] : ranks_) {
+    if (near_.empty() || sum < part * all) ++homes;
     near_.push_back(i);
-    if (sum <= kSlack * share * all) ++homes_;
-    sum += executors[i].size > 0 ? executors[i].size : 1;
+    sum += executors[i].size;
+  }
+  return homes;
+}
+
+// Fills the ready set with the homes of the key, or whoever comes behind them in its order, whose queue is
+// short; returns how many of these keep its data, be it only from now on.
+std::size_t Policy::find_homes(Time now, const Submission& submission) {
+  constexpr double kShort = 1.5;  // mean runs; 0.25 sends too much away from its data, 1 to 3 fare alike
+  ready_.clear();
+  if (submission.key == 0 || !settings_.live_weights) return 0;
+  const std::size_t homes = rank_by_key(now, submission);
+  std::size_t at_home = 0;
+  for (std::size_t n = 0; n < near_.size() && (n < homes || ready_.size() < kLeastReady); ++n) {
+    if (ready(now, submission, near_[n], true) && wait_at(now, executors[near_[n]]) <= kShort * mean_work_)
+      ready_.push_back(near_[n]);
+    if (n < homes) at_home = ready_.size();
   }
+  return ready_.empty() ? 0 : std::max<std::size_t>(at_home, 1);
 }
 
 // Where connections have a price, a single executor that is connected (or cold, with a share that was won) is
@@ -508,23 +500,9 @@
 
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
-  const Time fade = wait_life();
-  if (our_room_ < 1) return -1;
+  if (room_ < 1 && now - shared_at_ < kFresh) return -1;
   draw_zones(now);
-  constexpr double kFetch = V_FETCH;
-  const double fetch = submission.key == 0 ? 0 : kFetch * mean_work_;
-  std::size_t at_home = 0;
-  ready_.clear();
-  if (submission.key != 0) {
-    rank_by_key(now, submission);
-    for (int pass = 0; pass < (V_PASS2 ? 2 : 1) && ready_.empty(); ++pass)
-    for (std::size_t n = 0; n < near_.size() && (n < homes_ || ready_.size() < kLeastReady); ++n) {
-      if (ready(now, submission, near_[n], true) && (pass == 1 || wait_at(now, executors[near_[n]]) <= V_BOUND * mean_work_ + V_REL * mean_wait_))
-        ready_.push_back(near_[n]);
-      if (n < homes_) at_home = ready_.size();
-    }
-    if (at_home == 0 && !ready_.empty()) at_home = 1;
-  }
+  const std::size_t at_home = find_homes(now, submission);
   if (ready_.empty()) {
     find_ready(now, submission, true, true);
     if (ready_.size() < kLeastReady &&
@@ -536,6 +514,9 @@
   if (ready_.empty()) return -1;
   const double work = cost(submission);
   const double price = opening(now, submission);
+  constexpr double kFetch =
+      1;  // mean runs, with what a fetch costs the others; 0.25 loses, 0.7 to 2 fare alike
+  const double fetch = at_home > 0 ? kFetch * mean_work_ : 0;
   double sum = 0;
   chances_.clear();
   delays_.clear();
@@ -561,11 +542,7 @@
     }
     Executor& executor = executors[ready_[drawn]];
     const double v = speed_now(now, executor);
-    double queued = executor.held < 0 ? executor.open_cost / v : 0;
-    if (executor.held < 0 && executor.load.waiting >= 0)
-      queued += std::max(0.0, executor.load.waiting - executor.unstarted_at_load) * work / v *
-                std::exp(-static_cast<double>(now - executor.load_at) / static_cast<double>(fade));
-    queued += wait_at(now, executor);
+    const double queued = (tells_held(now, executor) ? 0 : executor.open_cost / v) + wait_at(now, executor);
     const double finish = queued + work / v + delays_[drawn];
     if (best < 0 || finish < least) {
       best = ready_[drawn];
@@ -732,7 +709,7 @@
   const int needed = (executor.open + settings_.streams - 1) / settings_.streams;
   executor.connections = std::max(executor.connections, needed);
   ++executor.unstarted;
-  our_room_ -= 1;
+  room_ -= 1;
   executor.open_cost += launch.cost;
   std::erase_if(executor.cold_sends,
                 [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
@@ -859,11 +836,13 @@
 // be satisfied in time are answered at once.
 void Policy::serve_held(Time now) {
   if (held_.empty()) return;
-  if (!V_LAZY || now >= held_look_) for (const int index : std::vector<int>(held_))
-    if (now >= keep_until(now, submissions[index])) end(now, index, true);
-  if (our_room_ < 1) return;
-  if (std::none_of(executors.begin(), executors.end(),
-                   [&](Executor& e) { return e.standing == Standing::kReady && has_room(e) && (e.held < 0 || begins_by(now, e, now + std::max(kNoQueue, leeway_))); }))
+  if (now >= held_look_)
+    for (const int index : std::vector<int>(held_))
+      if (now >= keep_until(now, submissions[index])) end(now, index, true);
+  if (std::none_of(executors.begin(), executors.end(), [&](Executor& e) {
+        return e.standing == Standing::kReady && has_room(e) &&
+               (!tells_held(now, e) || begins_by(now, e, now + leeway_));
+      }))
     return;
   std::vector<std::pair<double, int>> order;
   for (const int index : held_) {
@@ -876,7 +855,6 @@
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [key, index] : order) {
-    if (our_room_ < 1) break;
     const int to = pick(now, submissions[index]);
     if (to < 0) continue;
     let_go(index);
@@ -918,21 +896,18 @@
   submission.hint = hint;
   submission.key = key;
   submission.arrived = now;
-  // A node that stood still finds what came meanwhile. Where clients wait for the whole hard limit, what is left
-  // of it tells how long ago that was; one that is left with less than half is a client of little patience.
+  // A node that stood still finds what came meanwhile. Where clients wait for the whole hard limit, what is
+  // left of it tells how long ago that was; who comes with less than half of it is a client of little
+  // patience.
   const Time limit = settings_.use_cases[use_case].hard_limit;
-  if (V_AGE && settings_.live_weights && limit > 0 && due - now > limit / 2) submission.arrived = std::min(now, due - limit);
+  if (due - now > limit / 2) submission.arrived = std::min(now, due - limit);
   submission.due = due;
   arrivals_.add(now, kHealthLife, 1);
   asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   mean_work_ = asked_work_.value / arrivals_.value;
   leeway_ = shortest_leeway();
-  if (key != 0) {
-    auto found = std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == key; });
-    if (found == keys_.end()) found = keys_.insert(keys_.end(), {key, DecayingSum{}});
-    found->second.add(now, 60 * kSecond, cost(submission));
-  }
+  if (key != 0) count_key(now, key, cost(submission));
   wake(due - 2 * settings_.quantum, index);
   place(now, index);
 }
@@ -1105,13 +1080,11 @@
   submissions[index].launches[number].heard = now;
 }
 
-void Policy::take_load(Time now, Executor& executor, const Load* load) {
-  if (load == nullptr) return;
-  executor.load = *load;
-  executor.load_at = now;
-  if (executor.kind >= 0)
-    widest[executor.kind] = std::max(widest[executor.kind], std::floor(std::min(load->free_slots, 1e6)));
-  executor.unstarted_at_load = executor.unstarted;
+// The slots that were free at once are there; a report is noisy, so a part of one does not count.
+void Policy::take_load(const Executor& executor, const Load* load) {
+  constexpr double kMost = 1e4;
+  if (load == nullptr || executor.kind < 0 || !(load->free_slots < kMost)) return;
+  widest[executor.kind] = std::max(widest[executor.kind], std::floor(load->free_slots));
 }
 
 void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
@@ -1126,17 +1099,17 @@
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
-  if (V_BACK == 1 || (V_BACK == 2 && executors[launch.executor].held >= 0 && executors[launch.executor].held <= 1 + V_RB * seconds(leeway_) / mean_work_ * speed(executors[launch.executor]))) our_room_ += 1;
   close_launch(now, submission, launch);
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
   Executor& executor = executors[launch.executor];
+  if (tells_held(now, executor) && executor.held <= most_held(now, executor)) room_ += 1;
   executor.used = now;
   // One that ends without an answer takes its connection with it.
   if (settings_.streams == 1 && outcome != Outcome::kSatisfied && outcome != Outcome::kErrored &&
       outcome != Outcome::kTurnedAway)
     connection_closed(launch.executor);
-  take_load(now, executor, load);
+  take_load(executor, load);
   if (outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway)
     word_from(executor);
   switch (outcome) {
@@ -1231,6 +1204,10 @@
 // Those above a lower number of launches launch no more; with nothing out they are over at once.
 void Policy::settings_changed(Time now, Settings settings) {
   settings_ = std::move(settings);
+  if (!settings_.live_weights) {
+    room_ = kPlenty;
+    for (Executor& executor : executors) executor.held = executor.weight = -1;
+  }
   for (std::size_t i = work_.size(); i < settings_.use_cases.size(); ++i) {
     const int from = settings_.use_cases[i].learned_from;
     work_.push_back(from >= 0 ? work_[from] : 1.0);
--- a/src/policy.h
+++ b/src/policy.h
@@ -36,7 +36,7 @@
 struct UseCase {
   Time agreed_time = kSecond;
   Time hard_limit = 0;  // 0: not told
-  double stretch = 0;  // the agreed time grows by this multiple of the submission's own work
+  double stretch = 0;   // the agreed time grows by this multiple of the submission's own work
   double billing_value = 1;
   double overdue_value = 0;  // the part of it that an answer after the agreed time still earns
   Effect effect = Effect::kReplayable;
@@ -74,7 +74,7 @@
 
 // What an executor last said of its load; negative: not reported.
 struct Load {
-  double waiting = -1, free_slots = -1;
+  double free_slots = -1;
 };
 
 // A sum whose parts lose weight with time: by 1/e every `life`. Brought up to date when read.
@@ -92,6 +92,7 @@
   int zone = 0, kind = 0, cell = 0;
   std::uint64_t identity = 0;  // the same at all nodes
   double size = 0;             // the most that the list has weighed it
+  double weight = -1;          // last told by the list
   double held = -1;            // submissions for each core there when it was last weighed; negative: not told
   int open_when_weighed = 0;
   Time started = 0;               // 0: long ago
@@ -104,9 +105,6 @@
   double open_cost = 0, running_width = 0;
   double running_cost = 0, running_since = 0;  // of those begun: cost, and the sum of when, in seconds
   DecayingSum wait;                            // seconds that the last launch waited to begin
-  Load load;
-  Time load_at = 0;
-  int unstarted_at_load = 0;
   Time lot_at = -kNever;
   double lot = 1;  // drawn for this span: whether one launch may go while it is cold
   std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
@@ -258,10 +256,15 @@
   bool ready(Time now, const Submission& submission, int executor, bool ask_health);
   Time shortest_leeway() const;
   void share_room(Time now);
-  void rank_by_key(Time now, const Submission& submission);
+  bool tells_held(Time now, const Executor& executor) const;
+  double most_held(Time now, const Executor& executor) const;
+  double width(const Executor& executor) const;
+  void count_key(Time now, std::uint64_t key, double work);
+  std::size_t rank_by_key(Time now, const Submission& submission);
+  std::size_t find_homes(Time now, const Submission& submission);
   void weigh(Executor& executor, double weight);
   bool doubted(Time now, Executor& executor);
-  void take_load(Time now, Executor& executor, const Load* load);
+  void take_load(const Executor& executor, const Load* load);
 
   Settings settings_;
   Host& host_;
@@ -273,12 +276,13 @@
   DecayingSum asked_value_, asked_work_;    // of late, to tell what room is worth
   DecayingSum start_wait_, starts_;         // seconds until launches began, and how many
   DecayingSum taken_wait_, taken_;          // seconds until they were taken, and how many
-  int weighed_ = 0;
-  Time shared_at_ = 0;
-  double our_room_ = 1e9, mean_wait_ = 0;
-  Time leeway_ = kNever;
-  double mean_work_ = 1;                    // of what is asked of late
-  double speed_sum_ = 0;                    // of the ready executors whose speed is known
+  double mean_work_ = 1;                    // of what was asked of late
+  Time leeway_ = kNever;                    // how long the most urgent use case may wait
+  bool weighed_ = false;                    // a weight has changed since the room was shared
+  Time shared_at_ = -kNever;
+  double room_ = 1e9;       // launches that this node may send until the next weights
+  DecayingSum keyed_work_;  // asked of late with a key
+  double speed_sum_ = 0;    // of the ready executors whose speed is known
   int speed_count_ = 0;
   std::uint64_t list_ = 0;  // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
@@ -290,8 +294,7 @@
   std::vector<int> near_, ready_;              // scratch of pick
   std::vector<std::pair<double, int>> ranks_;  // scratch of pick
   std::vector<std::pair<std::uint64_t, DecayingSum>> keys_;  // work asked of late for each key
-  std::size_t homes_ = 0;                 // scratch of pick: how many at the front of near_ keep the key
-  std::vector<double> chances_, delays_;  // scratch of pick
+  std::vector<double> chances_, delays_;                     // scratch of pick
 };
 
 }  // namespace canvasstage
--- a/src/simhost/adapter.cpp
+++ b/src/simhost/adapter.cpp
@@ -204,7 +204,6 @@
 const Load* Instance::load(const Value& report, Load& into) const {
   if (!report.IsArray()) return nullptr;
   for (rapidjson::SizeType i = 0; i < report.Size() && i < terms_.report_fields.size(); ++i) {
-    if (report[i].IsNumber() && terms_.report_fields[i] == "backlog") into.waiting = report[i].GetDouble();
     if (report[i].IsNumber() && terms_.report_fields[i] == "x0") into.free_slots = report[i].GetDouble();
   }
   return &into;
