--- a/lab/emulator/scenario.h
+++ b/lab/emulator/scenario.h
@@ -77,7 +77,7 @@
   double list_calls = 1000;  // that it answers a second
   double list_patience = 1;  // it refuses a call that has waited longer, which costs a turn all the same
   double ask_within = 10, drain_grace = 1.5;
-  bool second_copies = false, cancelling = true;
+  bool cancelling = true;
   int most_launches = 5;
   double connection_price = 0;
   double fall_multiple = 3, fall_span = 1.5;
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -3,6 +3,7 @@
 #include <rapidjson/writer.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "core/node.h"
@@ -69,6 +70,7 @@
   write(json, "useCase", job.use_case);
   write(json, "machineKind", job.machine_kind);
   span("agreedTime", job.terms.agreed_time);
+  span("hardLimit", job.terms.hard_limit);
   write(json, "stretch", job.terms.stretch);
   write(json, "billingValue", job.terms.billing_value);
   write(json, "overdueValue", job.terms.overdue_value);
@@ -77,6 +79,7 @@
   span("window", job.terms.window);
   write(json, "width", job.state.width);
   write(json, "hint", job.state.hint);
+  write(json, "key", std::to_string(job.state.key));
   flag("waitedLong", job.state.waited_long);
   span("arrived", now - job.state.arrived);
   span("due", job.state.due - now);
@@ -127,6 +130,7 @@
   job.use_case = words(from, "useCase");
   job.machine_kind = words(from, "machineKind");
   job.terms.agreed_time = span(from, "agreedTime");
+  job.terms.hard_limit = span(from, "hardLimit");
   job.terms.stretch = number(needed(from, "stretch"), "stretch");
   job.terms.billing_value = number(needed(from, "billingValue"), "billingValue");
   job.terms.overdue_value = number(needed(from, "overdueValue"), "overdueValue");
@@ -135,6 +139,7 @@
   job.terms.window = span(from, "window");
   job.state.width = one_of(from, "width", kMost);
   job.state.hint = number(needed(from, "hint"), "hint");
+  job.state.key = std::strtoull(words(from, "key").c_str(), nullptr, 10);
   job.state.waited_long = flag(from, "waitedLong");
   job.state.arrived = now - span(from, "arrived");
   job.state.due = now + span(from, "due");
@@ -177,6 +182,7 @@
     write(json, "startedAt", static_cast<double>(executor.started));
     write(json, "work", executor.work);
     write(json, "latency", executor.latency);
+    write(json, "size", executor.size);
     write_sum(json, "good", now, executor.good);
     write_sum(json, "bad", now, executor.bad);
     write_sum(json, "wait", now, executor.wait);
@@ -313,6 +319,7 @@
     Executor learned;
     learned.work = number(needed(one, "work"), "work");
     learned.latency = number(needed(one, "latency"), "latency");
+    learned.size = number(needed(one, "size"), "size");
     learned.good = read_sum(one, "good", now);
     learned.bad = read_sum(one, "bad", now);
     learned.wait = read_sum(one, "wait", now);
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -31,6 +31,13 @@
 
 }  // namespace
 
+// FNV-1a, 64 bits.
+std::uint64_t hash_of(std::string_view text) {
+  std::uint64_t hash = 0xcbf29ce484222325u;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
+  return hash == 0 ? 1 : hash;
+}
+
 // Descriptors that are no connection of the node's: standard streams, listener, discovery, the log; and those
 // that a burst takes while the reducer still makes room.
 int Node::usable(Platform platform) {
@@ -48,10 +55,13 @@
 }
 
 // The module is to count on a connection for as long as the node keeps it, and no longer. An executor answers
-// when it has taken a job, before that begins.
+// when it has taken a job, before that begins. A pushed list comes over a watch too: what the machine's agent
+// has counts as told at once, and only this node calls it, so it is asked again soon.
 Settings Node::on_sockets(Settings settings, Time idle) {
   settings.connection_idle = idle;
   settings.tells_taken = true;
+  if (!settings.ask_for_roster) settings.ask_within = kSecond;
+  settings.ask_for_roster = true;
   return settings;
 }
 
@@ -99,7 +109,7 @@
 }
 
 void Node::submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
-                              int width, ParcelRef submission) {
+                              int width, ParcelRef submission, std::uint64_t key) {
   now_ = now;
   const auto found = clients_.find(client);
   if (found == clients_.end() || found->second.submission >= 0) return;
@@ -110,7 +120,7 @@
   if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, true);
   ++figures_.taken;
   const int index = new_entry(client, id, use_case, due, std::move(submission));
-  policy_.submission_arrived(now, index, use_case, std::min(due, stop_by_), hint, width);
+  policy_.submission_arrived(now, index, use_case, due, hint, width, key, stop_by_);
   if (handing_over_) hand_over_if_ready(index);
 }
 
@@ -334,7 +344,7 @@
 // --- The roster ---
 
 void Node::executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
-                           std::string_view kind, int cell, Standing standing, Time started) {
+                           std::string_view kind, int cell, Standing standing, Time started, double weight) {
   now_ = now;
   const auto [found, added] =
       executor_indices_.try_emplace(std::string(id), static_cast<int>(places_.size()));
@@ -346,7 +356,7 @@
   if (standing == Standing::kGone || restarted || place.address != address) close_free_links(index);
   place.address = address;
   policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind),
-                          cell, standing, started);
+                          cell, standing, started, weight, hash_of(id));
 }
 
 void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -29,6 +29,9 @@
 std::string written(const MovedJob& job, Time now);
 MovedJob read_job(const JsonValue& from, Time now);
 
+// A name's number, the same at every node and in every process; never 0.
+std::uint64_t hash_of(std::string_view text);
+
 class Node final : public Host {
  public:
   // `roster_version`: of the remembered list that comes next; 0: there is none.
@@ -41,7 +44,7 @@
   // `due` counts from the client's sending; `use_case` is an index of the settings. One whose id is open
   // already, or may be at an executor still, is rejected: passed on it would be a second copy.
   void submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
-                          int width, ParcelRef submission);
+                          int width, ParcelRef submission, std::uint64_t key = 0);
 
   // Answered before a word of it was kept, for want of a buffer.
   void turned_away(int use_case);
@@ -54,7 +57,7 @@
 
   // The roster: one call for each entry, then one that closes the list.
   void executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
-                       std::string_view kind, int cell, Standing standing, Time started);
+                       std::string_view kind, int cell, Standing standing, Time started, double weight = -1);
   void roster_arrived(Time now, RosterForm form, std::uint64_t version);
   void roster_refused(Time now);
   void roster_silent(Time now);
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -148,12 +148,11 @@
   s.connection_idle = to_time(setting(caps, "connIdle", 0));
   terms.connect_within = to_time(setting(caps, "connectTimeout", 1));
   s.connection_price = setting(member(settings, "prices"), "handshake", 0);
-  s.second_copies = flag(caps, "secondCopies");
   s.cancelling = flag(caps, "cancelling");
   if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
   s.tells_start = flag(domain, "tellsStart");
   const JsonValue& weights = member(settings, "weightSource");
-  s.live_weights = weights.IsString() && text(weights, "weightSource") == "live";
+  s.live_weights = !weights.IsNull() && text(weights, "weightSource") == "live";
   s.progress_every = to_time(setting(domain, "progress", 0));
   const JsonValue& rules = needed(settings, "guarantees");
   s.ask_within = to_time(setting(rules, "askWithin", 1e9));
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -310,6 +310,9 @@
     return reject(400, Reason::kBadMessage, reason);
   if (terms->referenced[static_cast<std::size_t>(use_case)] && head.field("Idempotency-Key").empty())
     return reject(400, Reason::kBadMessage, reason);
+  // What the request is about: the last part of the path, where there is one behind the use case.
+  const std::size_t last = path.rfind('/');
+  const std::uint64_t key = last > 0 && last + 1 < path.size() ? hash_of(path.substr(last + 1)) : 0;
   const int width = std::max(1, static_cast<int>(std::min(fact(head.field("X-Facts"), "slots", 1), 1e6)));
   {
     const std::lock_guard lock(mutex_);
@@ -317,8 +320,8 @@
   }
   std::string name(head.field("X-Correlation-Id"));
   world_.reducer.post([&world = world_, id = id_, name = std::move(name), use_case, due = came + left, width,
-                       parcel = ParcelRef(std::move(submission))](Time now) {
-    world.node->submission_arrived(now, id, name, use_case, due, 0, width, parcel);
+                       key, parcel = ParcelRef(std::move(submission))](Time now) {
+    world.node->submission_arrived(now, id, name, use_case, due, 0, width, parcel, key);
   });
   return await_answer(reason);
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -71,11 +71,13 @@
   const std::uint64_t version = check_list(list);
   const JsonValue& reset = member(list, "reset");
   for (const JsonValue& entry : member(list, "instances").GetArray()) {
+    const JsonValue& weight = member(entry, "weight");
     const double started = number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
     node.executor_listed(now, text(entry["instanceId"], ""), text(entry["hostPort"], ""),
                          text_or_none(member(entry, "zone")), text_or_none(member(entry, "machineType")),
                          static_cast<int>(number_or(member(entry, "cell"), -1, "cell")),
-                         standing_of(text(entry["lifecycle"], "")), to_time(started / 1000));
+                         standing_of(text(entry["lifecycle"], "")), to_time(started / 1000),
+                         weight.IsNumber() ? weight.GetDouble() : -1);
   }
   const RosterForm form = remembered                          ? RosterForm::kRemembered
                           : reset.IsBool() && reset.GetBool() ? RosterForm::kWhole
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cmath>
+#include <cstdlib>
 #include <cstring>
 #include <utility>
 
@@ -17,19 +19,20 @@
 // Between the line that ends a job and the end of the answer there is nothing to wait for.
 constexpr Milliseconds kMostTail{200};
 
-double waiting_of(const JsonValue& load) {
-  const JsonValue& waiting =
-      member(load, "backlog").IsNull() ? member(load, "queue") : member(load, "backlog");
-  return waiting.IsNumber() ? waiting.GetDouble() : -1;
+// Free slots, of what an executor tells of its load; -1: nothing that can be read. The rest is not used.
+double free_slots_of(const JsonValue& load) {
+  const JsonValue& slots = member(load, "x0");
+  return slots.IsNumber() ? slots.GetDouble() : -1;
 }
 
-double waiting_of(std::string_view header) {
-  for (const std::string_view name : {"backlog=", "queue="}) {
-    const std::size_t at = header.find(name);
-    if (at != std::string_view::npos && (at == 0 || header[at - 1] == ','))
-      return std::strtod(std::string(header.substr(at + name.size())).c_str(), nullptr);
-  }
-  return -1;
+double free_slots_of(std::string_view header) {
+  constexpr std::string_view kName = "x0=";
+  const std::size_t at = header.find(kName);
+  if (at == std::string_view::npos || (at > 0 && header[at - 1] != ',')) return -1;
+  const std::string value(header.substr(at + kName.size()));
+  char* end = nullptr;
+  const double slots = std::strtod(value.c_str(), &end);
+  return end == value.c_str() || !std::isfinite(slots) ? -1 : slots;
 }
 
 }  // namespace
@@ -110,15 +113,15 @@
   return given_up_;
 }
 
-void ExecutorConnection::tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting,
+void ExecutorConnection::tell_end(Outcome outcome, ParcelRef result, bool kept, double free_slots,
                                   Ending& ending) {
   ending.told = true;
   ending.kept = kept;
   if (!kept) ending.reason = Reason::kNoReuse;
   world_.reducer.post(
-      [&world = world_, id = work_.id, outcome, result = std::move(result), kept, waiting](Time now) {
-        const Load load{waiting};
-        world.node->launch_ended(now, id, outcome, result, kept, waiting >= 0 ? &load : nullptr);
+      [&world = world_, id = work_.id, outcome, result = std::move(result), kept, free_slots](Time now) {
+        const Load load{free_slots};
+        world.node->launch_ended(now, id, outcome, result, kept, free_slots >= 0 ? &load : nullptr);
       });
 }
 
@@ -273,7 +276,7 @@
   if (ending.told || head.status == 200) return;
   const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
   tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, ending.whole && head.keep_alive,
-           waiting_of(head.field("X-Backend-Load")), ending);
+           free_slots_of(head.field("X-Backend-Load")), ending);
 }
 
 // The lines of a 200 are taken as they come; of any other answer the body is read over.
@@ -347,7 +350,7 @@
   const JsonValue& state = member(object, "state");
   const std::string_view word = state.IsString() ? text(state, "state") : std::string_view();
   const auto tell = [&](Outcome outcome, ParcelRef result) {
-    tell_end(outcome, std::move(result), kept, waiting_of(member(object, "load")), ending);
+    tell_end(outcome, std::move(result), kept, free_slots_of(member(object, "load")), ending);
   };
   if (word == "started") {
     world_.reducer.post([&world = world_, id = work_.id](Time now) { world.node->launch_started(now, id); });
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -78,7 +78,7 @@
   void read_tail(http::BodyReader& reader, Ending& ending);
   void take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending);
   void drop_socket(Reason reason);
-  void tell_end(Outcome outcome, ParcelRef result, bool kept, double waiting, Ending& ending);
+  void tell_end(Outcome outcome, ParcelRef result, bool kept, double free_slots, Ending& ending);
 
   World& world_;
   const Milliseconds connect_within_;
--- a/src/net/upgrade.cpp
+++ b/src/net/upgrade.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 // Raised with every change of what is handed over: two that differ hand over nothing.
-constexpr int kVersion = 1;
+constexpr int kVersion = 2;
 // A process that is there answers at once, also with a part of a core; one that is stuck keeps nobody long.
 constexpr Milliseconds kMostGreeting{1000};
 constexpr Milliseconds kLookUp{100};
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace canvasstage {
 namespace {
@@ -148,6 +147,10 @@
   room_ = asked <= kCrowded * room ? kPlenty : std::floor(room + uniform(random_));
 }
 
+bool Policy::room_left(Time now) const {
+  return room_ >= 1 || now - shared_at_ >= kFresh;
+}
+
 bool Policy::cold(Time now, const Executor& executor) const {
   return executor.started > 0 && now - executor.started < settings_.warm_up + settings_.fall_span;
 }
@@ -175,13 +178,15 @@
 // all the same: of 100 that called together 39 were answered, and as the others came back together, half a
 // second later, none was for the next ten. So calls that may come together are spread over this long: 20 a
 // second, which is what that one bore.
+constexpr Time kLeastPause = kSecond / 2;
+
 Time Policy::asking_span() const {
   constexpr Time kTurn = kSecond / 20;
-  return std::clamp(settings_.replicas * kTurn, kSecond / 2, longest_pause());
+  return std::clamp(settings_.replicas * kTurn, kLeastPause, longest_pause());
 }
 
 Time Policy::longest_pause() const {
-  return std::max(kSecond / 2, settings_.ask_within / 2);
+  return std::max(kLeastPause, settings_.ask_within / 2);
 }
 
 // A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do
@@ -306,8 +311,7 @@
 // Both fade over two mean runs, as a queue drains by runs: one length in seconds suits no two deployments.
 Time Policy::wait_life() const {
   constexpr double kRuns = 2;
-  const double total = std::accumulate(work_.begin(), work_.end(), 0.0);
-  return std::max<Time>(1, from_seconds(kRuns * total / static_cast<double>(work_.size())));
+  return std::max<Time>(1, from_seconds(kRuns * mean_work_));
 }
 
 void Policy::saw_wait(Time now, Launch& launch) {
@@ -395,14 +399,13 @@
 }
 
 bool Policy::ready(Time now, const Submission& submission, int i, bool ask_health) {
-  Time latest = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
-  if (tells_held(now, executors[i])) latest = std::min(latest, now + leeway_);
   // Whoever has launches behind it has few left, and none for one more look where nobody was.
   const bool looks = submission.launches.empty();
   Executor& executor = executors[i];
   return has_room(executor) &&
          now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
-         begins_by(now, executor, latest) && may_launch(now, submission, i) &&
+         begins_by(now, executor, tells_held(now, executor) ? std::min(latest_, now + leeway_) : latest_) &&
+         may_launch(now, submission, i) &&
          (!ask_health || (!tried(submission, i) && !doubted(now, executor) &&
                           (executor.zone < 0 || !zones[executor.zone].left_out)));
 }
@@ -500,7 +503,8 @@
 
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
-  if (room_ < 1 && now - shared_at_ < kFresh) return -1;
+  if (!room_left(now)) return -1;
+  latest_ = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
   draw_zones(now);
   const std::size_t at_home = find_homes(now, submission);
   if (ready_.empty()) {
@@ -569,7 +573,7 @@
   // Rule 2: what may have run goes again only as the use case allows.
   bool bound = false;
   for (const Launch& launch : submission.launches) {
-    if (launch.pending && (!settings_.second_copies || launch.executor == index)) return false;
+    if (launch.pending) return false;
     if (!launch.may_have_run) continue;
     if (use_case.effect == Effect::kSingleUse) return false;
     if (use_case.effect != Effect::kReferenced || bound) continue;
@@ -599,7 +603,10 @@
     executor.lot_at = now;
     executor.lot = uniform(random_);
   }
-  return executor.lot * work < budget;
+  // A node that sees less than one submission for each executor hardly ever has one for this. By all that
+  // came of late, several spans: at the start of a burst the mean of one span tells too little.
+  const double use = std::min(1.0, arrivals_.read(now, kHealthLife) / std::max(1, speed_count_));
+  return executor.lot * work * use < budget;
 }
 
 bool Policy::may_push_back(const Submission& submission) const {
@@ -639,6 +646,7 @@
 
 void Policy::draw_zones(Time now) {
   constexpr double kInDoubt = 1.5;  // a single executor that is gone says nothing of its zone
+  if (zones.size() < 2) return;     // nobody else is left where all stand in one
   for (Zone& zone : zones) {
     const double unanswered = zone.unanswered.read(now, kZoneLife);
     zone.left_out = unanswered >= kInDoubt && uniform(random_) > std::exp2(-unanswered);
@@ -715,7 +723,7 @@
                 [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
   if (cold(now, executor)) executor.cold_sends.emplace_back(now, launch.cost * submission.width);
   host_.launch(index, to, submission.due);
-  wake(now + queue_patience(launch), index);
+  wake(now + kSecond / 10, index);
 }
 
 void Policy::close_launch(Time now, Submission& submission, Launch& launch) {
@@ -734,9 +742,9 @@
   }
 }
 
-int Policy::pending_launches(const Submission& submission) const {
-  return static_cast<int>(std::count_if(submission.launches.begin(), submission.launches.end(),
-                                        [](const Launch& launch) { return launch.pending; }));
+// One launch is out at a time, the last.
+bool Policy::pending(const Submission& submission) {
+  return !submission.launches.empty() && submission.launches.back().pending;
 }
 
 void Policy::wake(Time when, int index) {
@@ -744,14 +752,11 @@
                 (std::uint64_t{submissions[index].serial} << kIndexBits) | static_cast<std::uint64_t>(index));
 }
 
-void Policy::cancel_pending(int index, const Launch* except) {
-  if (!settings_.cancelling) return;
-  std::vector<Launch>& launches = submissions[index].launches;
-  for (std::size_t i = 0; i < launches.size(); ++i) {
-    if (!launches[i].pending || launches[i].cancelled || &launches[i] == except) continue;
-    launches[i].cancelled = true;
-    host_.cancel(index, static_cast<int>(i));
-  }
+void Policy::cancel_pending(int index) {
+  Submission& submission = submissions[index];
+  if (!settings_.cancelling || !pending(submission) || submission.launches.back().cancelled) return;
+  submission.launches.back().cancelled = true;
+  host_.cancel(index, static_cast<int>(submission.launches.size()) - 1);
 }
 
 void Policy::place(Time now, int index) {
@@ -839,7 +844,7 @@
   if (now >= held_look_)
     for (const int index : std::vector<int>(held_))
       if (now >= keep_until(now, submissions[index])) end(now, index, true);
-  if (std::none_of(executors.begin(), executors.end(), [&](Executor& e) {
+  if (!room_left(now) || std::none_of(executors.begin(), executors.end(), [&](Executor& e) {
         return e.standing == Standing::kReady && has_room(e) &&
                (!tells_held(now, e) || begins_by(now, e, now + leeway_));
       }))
@@ -854,9 +859,14 @@
   }
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
+  // Where so many in turn find nobody the others hardly would; hundreds held took a small node all its CPU.
+  constexpr int kMostInVain = 8;
+  int in_vain = 0;
   for (const auto& [key, index] : order) {
     const int to = pick(now, submissions[index]);
+    if (to < 0 && ++in_vain == kMostInVain) return;
     if (to < 0) continue;
+    in_vain = 0;
     let_go(index);
     send(now, index, to);
   }
@@ -875,7 +885,7 @@
   submission.open = false;
   let_go(index);
   push_back = push_back && may_push_back(submission);
-  cancel_pending(index, nullptr);
+  cancel_pending(index);
   if (push_back)
     host_.push_back(index, now - overload_seen_ < kSecond ? settings_.longest_stay_away : 0);
   else
@@ -885,7 +895,7 @@
 // --- What happens ---
 
 void Policy::submission_arrived(Time now, int index, int use_case, Time due, double hint, int width,
-                                std::uint64_t key) {
+                                std::uint64_t key, Time stop_by) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
   Submission& submission = submissions[index];
   submission = Submission{};
@@ -897,18 +907,18 @@
   submission.key = key;
   submission.arrived = now;
   // A node that stood still finds what came meanwhile. Where clients wait for the whole hard limit, what is
-  // left of it tells how long ago that was; who comes with less than half of it is a client of little
-  // patience.
+  // left of it tells how long ago that was; less than half of it tells of little patience. Only behind a live
+  // list: real clients wait for less, and zone+vast lost 0.05 by it on sockets.
   const Time limit = settings_.use_cases[use_case].hard_limit;
-  if (due - now > limit / 2) submission.arrived = std::min(now, due - limit);
-  submission.due = due;
+  if (settings_.live_weights && due - now > limit / 2) submission.arrived = std::min(now, due - limit);
+  submission.due = std::min(due, stop_by);
   arrivals_.add(now, kHealthLife, 1);
   asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   mean_work_ = asked_work_.value / arrivals_.value;
   leeway_ = shortest_leeway();
   if (key != 0) count_key(now, key, cost(submission));
-  wake(due - 2 * settings_.quantum, index);
+  wake(submission.due - 2 * settings_.quantum, index);
   place(now, index);
 }
 
@@ -934,69 +944,44 @@
   return long_wait(now, taken_wait_, taken_, kLeast);
 }
 
-// How long a launch waits to begin before a free slot is sought elsewhere. An executor with a free slot tells
-// of the start one round trip after the send, so any longer means a queue, whose length nobody tells.
-Time Policy::queue_patience(const Launch& launch) const {
-  constexpr double kOfRun = 0.1;  // a wait that is little beside the run is not worth a connection
-  return kNoQueue + 2 * delay(executors[launch.executor]) + from_seconds(kOfRun * launch.cost / mean_speed());
-}
-
 // How long one that has begun may go without progress: one note may come late, a second one is missing.
 Time Policy::progress_patience() const {
   return settings_.progress_every * 3 / 2 + kSecond / 10;
 }
 
-// Where there are no second copies, a waiting launch is taken back when its chance has begun to fall.
+// A waiting launch is taken back when its chance has begun to fall.
 constexpr double kNearlyEaten = 0.9;
 
 // Looks at a submission that may need a further launch, or has come near its hard limit without one.
 void Policy::further(Time now, int index) {
   Submission& submission = submissions[index];
-  const bool pending = pending_launches(submission) > 0;
+  Launch* const launch = pending(submission) ? &submission.launches.back() : nullptr;
+  const bool begun = launch != nullptr && launch->began >= 0;
   const Time eaten = last_start(submission, kNearlyEaten);
-  bool stuck = true, silent = false;
+  bool stuck = launch != nullptr, silent = false;
   Time next = kNever;
-  for (std::size_t i = 0; i < submission.launches.size(); ++i) {
-    Launch& launch = submission.launches[i];
-    if (!launch.pending) continue;
-    if (settings_.tells_taken && !launch.taken) {
-      const Time until = launch.sent + taken_patience(now);
-      if (now >= until) {
-        silent = true;
-        if (!launch.blamed) nobody_there(now, executors[launch.executor]);
-        blame(now, launch);
-        continue;
-      }
-      next = std::min(next, until);
-    }
-    Time patience = kNever;
-    if (launch.began < 0 && settings_.tells_start) {
-      patience = start_patience(now);
-      const Time queued = queue_patience(launch);
-      if (now - launch.sent < queued) {
-        stuck = false;
-        next = std::min(next, launch.sent + queued);
-      }
-    } else if (launch.began >= 0 && settings_.progress_every > 0) {
-      patience = progress_patience();
-    }
-    if (launch.began < 0 && eaten > now) next = std::min(next, eaten);
-    if (patience == kNever) {
+  if (launch != nullptr && settings_.tells_taken && !launch->taken) {
+    const Time until = launch->sent + taken_patience(now);
+    silent = now >= until;
+    if (!silent) next = until;  // never a time that is past: the timer would be due again at once
+    if (silent && !launch->blamed) nobody_there(now, executors[launch->executor]);
+    if (silent) blame(now, *launch);
+  }
+  if (launch != nullptr && !silent) {
+    if (!begun && eaten > now) next = std::min(next, eaten);
+    if (begun ? settings_.progress_every == 0 : !settings_.tells_start) {
       stuck = false;
-    } else if (now - launch.heard < patience) {
-      if (launch.began >= 0) stuck = false;
-      next = std::min(next, launch.heard + patience);
+    } else if (const Time until = launch->heard + (begun ? progress_patience() : start_patience(now));
+               now < until) {
+      stuck = !begun;
+      next = std::min(next, until);
     } else {
-      blame(now, launch);
+      blame(now, *launch);
     }
   }
-  const bool begun = std::any_of(submission.launches.begin(), submission.launches.end(),
-                                 [](const Launch& launch) { return launch.pending && launch.began >= 0; });
-  // Where many nodes queue at the executors none holds anything: what waits there, unblamed, is held too.
-  const bool queued = std::any_of(submission.launches.begin(), submission.launches.end(),
-                                  [](const Launch& launch) { return launch.pending && !launch.blamed; });
   if (!begun && settings_.tells_start) {
-    if (queued && now >= eaten) {
+    // Where many nodes queue at the executors none holds anything: what waits there, unblamed, is held too.
+    if (launch != nullptr && !launch->blamed && now >= eaten) {
       overload_seen_ = now;
       if (!submission.waited_long) waited_.add(now, kHealthLife, 1);
       submission.waited_long = true;
@@ -1004,41 +989,29 @@
     const Time until = keep_until(now, submission);
     if (now >= until) return end(now, index, true);
     next = std::min(next, until);
-  } else if (!pending && now >= submission.due - 2 * settings_.quantum) {
+  } else if (launch == nullptr && now >= submission.due - 2 * settings_.quantum) {
     return end(now, index, true);
   }
-  if (pending && stuck) seek_elsewhere(now, index, silent);
+  if (stuck) seek_elsewhere(now, index, silent);
   // What waits in a queue will begin. One that nobody has, or that fell silent as it ran, will not: where
   // nobody else may be had at this moment it is looked at again soon, not just before its hard limit.
-  if (pending && stuck && (silent || begun) && !submission.launches.back().cancelled)
-    next = std::min(next, now + kSecond / 20);
+  if (stuck && (silent || begun) && !launch->cancelled) next = std::min(next, now + kSecond / 20);
   if (next < submission.due) wake(next, index);
 }
 
-// A submission none of whose launches moves: a second copy where that is allowed, else the launch is taken
-// back to be sent elsewhere, if anywhere else has room and the effect permits it.
+// A launch that does not move is taken back to be sent elsewhere, if anywhere else has room and the effect
+// permits it.
 void Policy::seek_elsewhere(Time now, int index, bool silent) {
   Submission& submission = submissions[index];
-  if (settings_.second_copies) {
-    // Nodes that see little find a free slot by looking into one more place. 4 is no better, and 3 loses
-    // where connections have a price.
-    const int most_pending = settings_.connection_price > 0 ? 2 : 3;
-    if (pending_launches(submission) >= most_pending) return;
-    const int to = pick(now, submission);
-    if (to >= 0) send(now, index, to);
-    return;
-  }
   Launch& launch = submission.launches.back();
-  if (!settings_.cancelling || !launch.pending || launch.cancelled) return;
+  if (!settings_.cancelling || launch.cancelled) return;
   if (launch.began < 0 && !silent &&
       (overloaded(now) || now < last_start(submission, kNearlyEaten) || submission.launches.size() > 1))
     return;
   launch.pending = false;
   const bool elsewhere = pick(now, submission) >= 0;
   launch.pending = true;
-  if (!elsewhere) return;
-  launch.cancelled = true;
-  host_.cancel(index, static_cast<int>(submission.launches.size()) - 1);
+  if (elsewhere) cancel_pending(index);
 }
 
 void Policy::launch_taken(Time now, int index, int number) {
@@ -1072,7 +1045,6 @@
   heard_from(now, executor, now - launch.sent);
   saw_wait(now, launch);
   if (settings_.progress_every > 0 && submission.open) wake(now + progress_patience(), index);
-  cancel_pending(index, &launch);  // those that wait are dropped unrun
   serve_held(now);
 }
 
@@ -1167,7 +1139,7 @@
   if (submission.open) {
     if (now >= submission.due - settings_.quantum) {
       end(now, index, true);
-    } else if (pending_launches(submission) == 0) {
+    } else if (!pending(submission)) {
       // What may go again waits for room, also where it may no longer be pushed back; an abort would be
       // hasty.
       const bool spent = static_cast<int>(submission.launches.size()) >= settings_.most_launches ||
@@ -1179,7 +1151,7 @@
         place(now, index);
     }
   } else {
-    cancel_pending(index, nullptr);
+    cancel_pending(index);
   }
   serve_held(now);
 }
@@ -1191,7 +1163,7 @@
 void Policy::client_left(Time, int index) {
   submissions[index].open = false;
   let_go(index);
-  cancel_pending(index, nullptr);
+  cancel_pending(index);
 }
 
 void Policy::hurry(Time now, int index, Time due) {
@@ -1214,7 +1186,7 @@
     work_weight_.push_back(from >= 0 ? work_weight_[from] : 0.0);
   }
   for (std::size_t i = 0; i < submissions.size(); ++i)
-    if (submissions[i].open && pending_launches(submissions[i]) == 0 &&
+    if (submissions[i].open && !pending(submissions[i]) &&
         static_cast<int>(submissions[i].launches.size()) >= settings_.most_launches)
       end(now, static_cast<int>(i), true);
 }
@@ -1229,6 +1201,7 @@
   executor.wait = learned.wait;
   executor.away = learned.away;
   executor.away_until = learned.away_until;
+  executor.size = std::max(executor.size, learned.size);
   std::erase_if(executor.cold_sends,
                 [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
   executor.cold_sends.insert(executor.cold_sends.end(), learned.cold_sends.begin(), learned.cold_sends.end());
@@ -1266,7 +1239,7 @@
       count_running(executor, submission, launch);
   }
   wake(submission.due - 2 * settings_.quantum, index);
-  if (pending_launches(submission) == 0) return place(now, index);
+  if (!pending(submission)) return place(now, index);
   wake(now, index);
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -58,7 +58,6 @@
   Time connection_idle = 0;
   double connection_price = 0;  // of one opened, in the mean value of a submission
   int most_launches = 1;
-  bool second_copies = false;
   bool cancelling = false;
   Time longest_stay_away = 0;  // 0: clients are not told when to come back
   bool tells_taken = false;    // that an executor has a submission, be it in its queue
@@ -160,7 +159,7 @@
   void roster_moved(Time now);   // it is to be had elsewhere
 
   void submission_arrived(Time now, int submission, int use_case, Time due, double hint, int width,
-                          std::uint64_t key = 0);
+                          std::uint64_t key = 0, Time stop_by = kNever);
   void launch_taken(Time now, int submission, int launch);
   void launch_started(Time now, int submission, int launch);
   void launch_progressed(Time now, int submission, int launch, double share_done);
@@ -215,7 +214,7 @@
   void look_at_held(Time now);
   void send(Time now, int submission, int executor);
   void wake(Time when, int submission);
-  void cancel_pending(int submission, const Launch* except);
+  void cancel_pending(int submission);
   void end(Time now, int submission, bool push_back);
   void let_go(int submission);
   void close_launch(Time now, Submission& submission, Launch& launch);
@@ -235,13 +234,12 @@
   void blame(Time now, Launch& launch);
   void nobody_there(Time now, Executor& executor);
   double mean_leeway(const Submission& submission) const;
-  int pending_launches(const Submission& submission) const;
+  static bool pending(const Submission& submission);
   Time progress_patience() const;
   Time start_patience(Time now);
   Time taken_patience(Time now);
   Time wait_life() const;
   void saw_wait(Time now, Launch& launch);
-  Time queue_patience(const Launch& launch) const;
   void seek_elsewhere(Time now, int submission, bool silent);
   bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
@@ -256,6 +254,7 @@
   bool ready(Time now, const Submission& submission, int executor, bool ask_health);
   Time shortest_leeway() const;
   void share_room(Time now);
+  bool room_left(Time now) const;
   bool tells_held(Time now, const Executor& executor) const;
   double most_held(Time now, const Executor& executor) const;
   double width(const Executor& executor) const;
@@ -294,6 +293,7 @@
   std::vector<int> near_, ready_;              // scratch of pick
   std::vector<std::pair<double, int>> ranks_;  // scratch of pick
   std::vector<std::pair<std::uint64_t, DecayingSum>> keys_;  // work asked of late for each key
+  Time latest_ = 0;                                          // scratch of pick: the last start that is of use
   std::vector<double> chances_, delays_;                     // scratch of pick
 };
 
