--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -316,7 +316,7 @@
     if (found == executor_indices_.end()) continue;
     // Another process runs there by now: what was learned is void.
     if (length(needed(one, "startedAt"), "startedAt") < policy_.executors[found->second].started) continue;
-    Executor learned;
+    Learned learned;
     learned.work = number(needed(one, "work"), "work");
     learned.latency = number(needed(one, "latency"), "latency");
     learned.size = number(needed(one, "size"), "size");
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -144,7 +144,6 @@
   const JsonValue& caps = needed(settings, "caps");
   s.most_launches = static_cast<int>(std::min(positive(caps, "mostLaunches"), 1e6));
   if (s.most_launches < 1) bad("mostLaunches: at least 1 is needed");
-  s.streams = std::max(1, static_cast<int>(setting(caps, "streamsPerConn", 1)));
   s.connection_idle = to_time(setting(caps, "connIdle", 0));
   terms.connect_within = to_time(setting(caps, "connectTimeout", 1));
   s.connection_price = setting(member(settings, "prices"), "handshake", 0);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,15 +1,8 @@
-// The decisions of one node. How it is called: the adapter builds one Policy for each node and calls one
-// method for each thing that happens; the Policy calls its Host at once. Both interfaces are defined in
-// policy.h.
-//
+// The decisions of one node: one method for each thing that happens; the Policy calls its Host at once.
 // The ordinary path is TPD (docs/design.md): pick() draws candidates by apparent speed and takes the least
-// estimated finish. Beside it stand six mechanisms:
-//   1. health posterior           doubted(), blame()
-//   2. time-outs, further launches  further(), seek_elsewhere()
-//   3. overload pushback          has_room(), keep_until(), serve_held()
-//   4. connected ones first       find_ready()
-//   5. cold budget                cold_budget(), wins_cold_start()
-//   6. following the list         follow_list()
+// estimated finish. Beside it stand six mechanisms: health (doubted), time-outs and further launches
+// (further), overload pushback (keep_until, share_room, serve_held), homes and connected ones first
+// (find_homes, find_ready), the cold budget (cold_budget) and following the list (follow_list).
 #include "policy.h"
 
 #include <algorithm>
@@ -32,14 +25,12 @@
   return (static_cast<double>(random()) + 0.5) / 4294967296.0;
 }
 
-// The wake-up of the node's own housekeeping; others are kHeldToken, and those that name a submission.
+// The wake-up of the node's own housekeeping.
 constexpr std::uint64_t kTickToken = 0;
-// Often enough to ask for the list again in time, seldom enough to cost nothing.
-constexpr Time kTick = kSecond / 4;
+constexpr Time kTick = kSecond / 4;  // often enough to ask for the list again in time
 constexpr int kIndexBits = 24;
 constexpr double kPlenty = 1e9;  // of room
-// A start that leaves less than this chance to be in time is not worth its place in a crowded fleet. Between
-// 0.7 and 0.85 all deployments fare alike; 0.5 and 0.3 are worse.
+// A start with less chance to be in time is not worth its place in a crowd. 0.7 to 0.85 fare alike.
 constexpr double kGiveWayChance = 0.8;
 
 }  // namespace
@@ -174,10 +165,8 @@
   serve_held(now);
 }
 
-// Discovery works through the calls of all nodes in turn, and one that has waited too long costs it a turn
-// all the same: of 100 that called together 39 were answered, and as the others came back together, half a
-// second later, none was for the next ten. So calls that may come together are spread over this long: 20 a
-// second, which is what that one bore.
+// Discovery works through all nodes' calls in turn, also those that have waited too long: of 100 that came
+// together 39 were answered, then none for ten seconds. So they are spread: 20 a second, which it bore.
 constexpr Time kLeastPause = kSecond / 2;
 
 Time Policy::asking_span() const {
@@ -189,29 +178,27 @@
   return std::max(kLeastPause, settings_.ask_within / 2);
 }
 
-// A failed call, or a subscription that broke. Waits are spread out and grow, so that the nodes together do
-// not crowd a discovery of fixed capacity, but stay well inside the time after which we are deemed to have
-// been told.
-void Policy::roster_refused(Time now) {
+void Policy::ask_again(Time now, Time pause, double spread) {
   subscribed_ = false;
-  ask_pause_ = std::clamp(2 * ask_pause_, asking_span(), longest_pause());
-  next_ask_ = now + from_seconds(seconds(ask_pause_) * (0.5 + uniform(random_)));
+  ask_pause_ = pause;
+  next_ask_ = now + from_seconds(spread);
+}
+
+// A failed call, or a subscription that broke. Waits are spread out and grow, but stay well inside the time
+// after which we are deemed to have been told.
+void Policy::roster_refused(Time now) {
+  const Time pause = std::clamp(2 * ask_pause_, asking_span(), longest_pause());
+  ask_again(now, pause, seconds(pause) * (0.5 + uniform(random_)));
 }
 
-// What a silent subscription misses counts as told all the same, a few seconds after it fell silent, so the
-// next call is not spread over the fleet's span: of 300 nodes 62 fell silent within a second, waited for up
-// to 5 s with that, and 18 launches went to executors that had left.
+// What a silent subscription misses counts as told seconds after it fell silent: 62 of 300 nodes that waited
+// for up to 5 s sent 18 launches to executors that had left. So the next call comes within one.
 void Policy::roster_silent(Time now) {
-  constexpr Time kSpread = kSecond;
-  subscribed_ = false;
-  ask_pause_ = 0;
-  next_ask_ = now + from_seconds(seconds(kSpread) * uniform(random_));
+  ask_again(now, 0, uniform(random_));
 }
 
 void Policy::roster_moved(Time now) {
-  subscribed_ = false;
-  ask_pause_ = 0;
-  next_ask_ = now;
+  ask_again(now, 0, 0);
   follow_list(now);
 }
 
@@ -244,8 +231,7 @@
   return executor.latency > 0 ? executor.work / executor.latency : mean_speed();
 }
 
-// The speed as what still runs there shows it: only what ends teaches, and one that has slowed down ends
-// late.
+// The speed as what still runs there shows it: one that has slowed down ends late, and only ends teach.
 double Policy::speed_now(Time now, const Executor& executor) const {
   constexpr double kWeight = 0.2;  // as for one that has ended
   const double v = speed(executor);
@@ -260,8 +246,7 @@
   return submission.hint > 0 ? submission.hint : work_[submission.use_case];
 }
 
-// How long the shortest latencies are remembered; long enough that each zone is heard of at low traffic.
-constexpr Time kDelaySpan = 10 * kSecond;
+constexpr Time kDelaySpan = 10 * kSecond;  // in it each zone is heard of at low traffic
 
 void Policy::heard_from(Time now, const Executor& executor, Time delay) {
   if (executor.zone < 0) return;
@@ -293,8 +278,7 @@
   const auto [least, most] = std::minmax_element(chances.begin(), chances.end());
   const double alpha = 1.0 / (count * *least);
   const double beta = count * *most;
-  // With equal chances alpha = beta = 1 and the formula is 0/0; its limit is 1.
-  double f = 1.0;
+  double f = 1.0;  // the formula's limit for equal chances
   if (alpha > 1.0 + 1e-9 && beta > 1.0 + 1e-9)
     f = std::log((alpha * beta - 1) / (alpha - 1)) / std::log((alpha * beta - 1) / (alpha * beta - beta));
   if (!std::isfinite(f)) return count;
@@ -307,8 +291,8 @@
                      [&](const Launch& launch) { return launch.executor == executor; });
 }
 
-// A launch's own wait until it began tells of the queue that all nodes make, and is fresher than any report.
-// Both fade over two mean runs, as a queue drains by runs: one length in seconds suits no two deployments.
+// A launch's own wait until it began tells of the queue that all nodes make. It fades over two mean runs, as
+// a queue drains by runs: one length in seconds suits no two deployments.
 Time Policy::wait_life() const {
   constexpr double kRuns = 2;
   return std::max<Time>(1, from_seconds(kRuns * mean_work_));
@@ -316,9 +300,7 @@
 
 void Policy::saw_wait(Time now, Launch& launch) {
   Executor& executor = executors[launch.executor];
-  const double waited = seconds(now - launch.sent - delay(executor));
-  executor.wait.value = std::max(0.0, waited);
-  executor.wait.at = now;
+  executor.wait = {std::max(0.0, seconds(now - launch.sent - delay(executor))), now};
 }
 
 // What a launch waits where nothing is queued: a handshake, jitter and a few beats of the clock.
@@ -336,27 +318,15 @@
   return executor.kind >= 0 ? widest[executor.kind] : 1.0;
 }
 
-// Whether one sent now would begin in time if it waits like the last; a wait that is short enough undecayed
-// needs no reading.
-bool Policy::begins_by(Time now, Executor& executor, Time latest) {
-  if (tells_held(now, executor)) return now + from_seconds(wait_at(now, executor)) <= latest;
-  return now + from_seconds(executor.wait.value) <= latest ||
-         now + from_seconds(executor.wait.read(now, wait_life())) <= latest;
-}
-
-// With many nodes of little traffic nearly every launch would open a connection, and what is learned of an
-// executor would be out of date at the next: while this many connected ones have room, no other is ready.
-// TPD's least d; 3, 4 and 6 lose on all the grown deployments.
+// With little traffic nearly every launch would open a connection, and what is learned would be old at the
+// next: while this many connected ones have room, no other is ready. TPD's least d; 3, 4 and 6 lose.
 constexpr std::size_t kLeastReady = 2;
 
 bool Policy::connected(Time now, const Executor& executor) const {
-  return executor.connections * settings_.streams > executor.open &&
-         now - executor.used < settings_.connection_idle;
+  return executor.connections > executor.open && now - executor.used < settings_.connection_idle;
 }
 
-// For so long nothing goes where connections are refused, at most: one launch a second shows soon enough that
-// it is back.
-constexpr Time kMostAway = kSecond;
+constexpr Time kMostAway = kSecond;  // one launch a second shows soon enough that somebody is back
 
 // What a new connection costs, as the delay that lowers the worth of a usual submission of this kind as much.
 double Policy::opening(Time now, const Submission& submission) {
@@ -369,8 +339,7 @@
 }
 
 // Fills the ready set, from the whole roster or from the connected executors and the cold ones: whoever has
-// its two connections would never meet those that took the place of most others, and what it may send them
-// while they are cold, little as it is, would be lost.
+// two connections would never meet the successors of the others, and what it may send them would be lost.
 void Policy::find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health) {
   ready_.clear();
   if (!connected_only) return look_through(now, submission, order_, ask_health);
@@ -384,8 +353,8 @@
   look_through(now, submission, near_, ask_health);
 }
 
-// A look at all of a large fleet for every launch costs too much: from a random place in an order of this
-// node's own it goes on for kLooks, and then only until as many are ready as TPD draws at least.
+// A look at all of a large fleet costs too much: from a random place in an order of this node's own it goes
+// on for kLooks, and then only until as many are ready as TPD draws at least.
 void Policy::look_through(Time now, const Submission& submission, const std::vector<int>& from,
                           bool ask_health) {
   constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
@@ -404,7 +373,8 @@
   Executor& executor = executors[i];
   return has_room(executor) &&
          now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
-         begins_by(now, executor, tells_held(now, executor) ? std::min(latest_, now + leeway_) : latest_) &&
+         now + from_seconds(wait_at(now, executor)) <=
+             (tells_held(now, executor) ? std::min(latest_, now + leeway_) : latest_) &&
          may_launch(now, submission, i) &&
          (!ask_health || (!tried(submission, i) && !doubted(now, executor) &&
                           (executor.zone < 0 || !zones[executor.zone].left_out)));
@@ -428,8 +398,7 @@
   return value ^ (value >> 32);
 }
 
-// Popularity is learned from little traffic, so long; more keys than this cost more than they tell.
-constexpr Time kKeyLife = 60 * kSecond;
+constexpr Time kKeyLife = 60 * kSecond;  // popularity is learned from little traffic
 constexpr std::size_t kMostKeys = 1024;
 
 void Policy::count_key(Time now, std::uint64_t key, double work) {
@@ -442,9 +411,8 @@
   found->second.add(now, kKeyLife, work);
 }
 
-// Where executors keep data, every node has to send a key's work to the same few, though none tells another:
-// rendezvous hashing by the list's sizes puts all in an order, near_, of which the first are the key's homes:
-// as many as its part of the work calls for.
+// Where executors keep data every node has to send a key's work to the same few: rendezvous hashing by the
+// list's sizes puts all in an order, near_, and the first are homes, as many as the key's part of work needs.
 std::size_t Policy::rank_by_key(Time now, const Submission& submission) {
   ranks_.clear();
   double all = 0;
@@ -489,9 +457,8 @@
   return ready_.empty() ? 0 : std::max<std::size_t>(at_home, 1);
 }
 
-// Where connections have a price, a single executor that is connected (or cold, with a share that was won) is
-// enough while it is expected to end no later than a stranger, who has the usual speed and wait and needs a
-// new connection. Without this every node with one free connection opened a second.
+// Where connections have a price a single connected executor is enough while it is expected to end no later
+// than a stranger of the usual speed and wait with a new connection. Else every node opened a second.
 bool Policy::keeps_to(Time now, const Submission& submission, Executor& executor) {
   if (settings_.connection_price <= 0) return false;
   const double work = cost(submission), v = speed_now(now, executor);
@@ -518,8 +485,7 @@
   if (ready_.empty()) return -1;
   const double work = cost(submission);
   const double price = opening(now, submission);
-  constexpr double kFetch =
-      1;  // mean runs, with what a fetch costs the others; 0.25 loses, 0.7 to 2 fare alike
+  constexpr double kFetch = 1;  // mean runs, with what it costs others; 0.25 loses, 0.7 to 2 fare alike
   const double fetch = at_home > 0 ? kFetch * mean_work_ : 0;
   double sum = 0;
   chances_.clear();
@@ -593,9 +559,8 @@
   return sent <= budget || (sent <= work && wins_cold_start(now, executor, work, budget));
 }
 
-// Where our share is less than one launch, one goes with the chance share / work, so that all nodes together
-// send what the shares allow on the mean. Drawn once for each span: a draw for each try would multiply it.
-// Only for small work, as the sum of a few heavy ones spreads too far.
+// Where our share is less than one launch, one goes with the chance share / work, drawn once for each span:
+// all nodes together send what the shares allow on the mean. Only small work, as a few heavy ones spread far.
 bool Policy::wins_cold_start(Time now, Executor& executor, double work, double budget) {
   constexpr double kLeastParts = 4;  // a sum of four spreads by half; 2 and 8 fare alike
   if (work * kLeastParts > budget * settings_.replicas) return false;
@@ -603,8 +568,7 @@
     executor.lot_at = now;
     executor.lot = uniform(random_);
   }
-  // A node that sees less than one submission for each executor hardly ever has one for this. By all that
-  // came of late, several spans: at the start of a burst the mean of one span tells too little.
+  // A node with less than one submission for each executor, of late, hardly ever has one for this.
   const double use = std::min(1.0, arrivals_.read(now, kHealthLife) / std::max(1, speed_count_));
   return executor.lot * work * use < budget;
 }
@@ -617,15 +581,13 @@
                       [](const Launch& launch) { return launch.may_have_run; });
 }
 
-// What this node may send a cold executor within any span: its share of what all together may, for the least
-// capacity that it can have. The other nodes are taken to do the same.
+// What this node may send a cold executor within any span: its share of all, for the least possible capacity.
 double Policy::cold_budget(Time now, const Executor& executor) const {
   constexpr double kSlack = 0.8;  // handshakes and probes are work too
   const double age = std::max(0.0, seconds(now - settings_.fall_span - executor.started));
   const double warm = settings_.warm_up > 0 ? std::min(1.0, age / seconds(settings_.warm_up)) : 1.0;
   const double part = settings_.cold_from + (1 - settings_.cold_from) * warm;
-  const double width = executor.kind >= 0 ? widest[executor.kind] : 1.0;
-  return kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width *
+  return kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width(executor) *
          seconds(settings_.fall_span);
 }
 
@@ -637,11 +599,9 @@
   executors[launch.executor].bad.add(now, kHealthLife, 1);
 }
 
-// A zone that is cut off or lost was found out executor by executor: 255 submissions of five seconds sent
-// 1,095 launches over the fleet, 586 of them to somebody who was not there, hardly any node twice to the same
-// one. So executors of a zone that are not there in turn, with no word from any of it between, leave the
-// others of it out as well, by a draw for each pick: one of two and less, so that a look still goes there,
-// and within a second or two of the trouble's end.
+// A zone that is lost was found out executor by executor: over half of all launches went to somebody who was
+// not there. So executors of it that are not there in turn, with no word from any between, leave the others
+// out too, by a draw for each pick, so that a look still goes there.
 constexpr Time kZoneLife = 2 * kSecond;
 
 void Policy::draw_zones(Time now) {
@@ -657,10 +617,8 @@
   if (executor.zone >= 0) zones[executor.zone].unanswered.value = 0;
 }
 
-// Whoever refuses a connection is the first to be free again: four dead of nine took all five launches of
-// every submission within a millisecond, while sound ones were only full. So for a pause nothing goes there,
-// however few are left; it grows while every look finds nobody. Launches that find it together count as one
-// look.
+// Whoever refuses a connection is the first to be free again: four dead of nine took all launches of every
+// submission. So for a pause, which grows, nothing goes there. Launches that find it together are one look.
 void Policy::nobody_there(Time now, Executor& executor) {
   constexpr Time kFirst = kSecond / 20;  // a single connection that did not come up costs little
   if (now < executor.away_until) return;
@@ -683,8 +641,7 @@
   return win / (win + losses(random_)) < kSoundChance;
 }
 
-// What an onlooker is told: nobody was there, or the mean of that posterior is below what a draw has to
-// reach.
+// What an onlooker is told: nobody was there, or the mean is below what a draw has to reach.
 bool Policy::avoided(Time now, const Executor& executor) const {
   if (now < executor.away_until) return true;
   DecayingSum good = executor.good, bad = executor.bad;
@@ -694,12 +651,9 @@
 
 // --- Launches ---
 
-// How many launches of ours may wait at an executor without having begun. More would only move the queue to
-// where its order can no longer be chosen.
-constexpr int kMostUnstarted = 1;
-
+// More than one launch that has not begun would only move the queue to where it has no order of ours.
 bool Policy::has_room(const Executor& executor) const {
-  return !settings_.tells_start || executor.unstarted < kMostUnstarted;
+  return !settings_.tells_start || executor.unstarted < 1;
 }
 
 void Policy::send(Time now, int index, int to) {
@@ -714,8 +668,7 @@
   if (now - executor.used >= settings_.connection_idle) executor.connections = 0;
   executor.used = now;
   ++executor.open;
-  const int needed = (executor.open + settings_.streams - 1) / settings_.streams;
-  executor.connections = std::max(executor.connections, needed);
+  executor.connections = std::max(executor.connections, executor.open);
   ++executor.unstarted;
   room_ -= 1;
   executor.open_cost += launch.cost;
@@ -769,7 +722,7 @@
   look_at_held(now);
 }
 
-// One look for all: a look at all for each of them took a node 24 s of CPU in a minute with some 500 held.
+// One look for all: one for each of them took a node 24 s of CPU in a minute with some 500 held.
 void Policy::look_at_held(Time now) {
   if (held_.empty() || now < held_look_) return;
   held_look_ = now + kSecond / 50;
@@ -783,8 +736,7 @@
 }
 
 // The moment until which a start still leaves this chance of ending within the agreed time. The own work is
-// not known; it is taken to spread exponentially about its use case's mean. A long submission has the longer
-// agreed time, so it is the short ones that a wait makes late.
+// taken to spread exponentially about its use case's mean; it is the short ones that a wait makes late.
 Time Policy::last_start(const Submission& submission, double chance) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   return std::min(submission.due - from_seconds(cost(submission) / mean_speed()),
@@ -799,8 +751,8 @@
   return std::exp(-seconds(over) / mean_leeway(submission));
 }
 
-// Told by how long the oldest held submission has waited. Held: taken, and no launch of it pending.
-// It counts for a while after: when room appears the held ones go at once, and the crowd is still there.
+// Told by how long the oldest held submission has waited, and for a while after: when room appears the held
+// ones go at once, and the crowd is still there.
 bool Policy::overloaded(Time now) {
   constexpr Time kLongWait = kSecond / 20;  // longer than a beat of the clock and a round trip
   if (!held_.empty() && now - submissions[held_.front()].arrived > kLongWait) overload_seen_ = now;
@@ -813,7 +765,7 @@
 }
 
 // Until when a submission that has not begun is kept: while its chance to be in time, times its value per
-// work, is worth the room to the usual submission here. In an overload the room is worth more.
+// work, is worth the room to the usual one here.
 Time Policy::keep_until(Time now, const Submission& submission) {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
@@ -828,8 +780,8 @@
   // What a late answer earns is earned for sure: the chance has to make up for the rest alone.
   if (needed <= use_case.overdue_value) return limit;
   const double chance = (needed - use_case.overdue_value) / std::max(1e-9, 1 - use_case.overdue_value);
-  // One that is worth less than the room even if surely in time may begin at once or not at all. Only where
-  // this part of the last submissions waited until their chance fell; a short crowd passes. 0.3 and 0 lose.
+  // One that is worth less than the room even if surely in time may begin at once or not at all, where this
+  // part of the last ones waited until their chance fell; a short crowd passes. 0.3 and 0 lose.
   constexpr double kMuchWaiting = 0.15;
   if (crowded && chance > 1 &&
       waited_.read(now, kHealthLife) > kMuchWaiting * arrivals_.read(now, kHealthLife))
@@ -837,8 +789,7 @@
   return std::min(limit, last_start(submission, std::clamp(chance, 0.05, 0.95)));
 }
 
-// Held submissions go out as room appears, the most valuable for their work first; those that can no longer
-// be satisfied in time are answered at once.
+// Held submissions go out as room appears, the most valuable for their work first.
 void Policy::serve_held(Time now) {
   if (held_.empty()) return;
   if (now >= held_look_)
@@ -846,7 +797,7 @@
       if (now >= keep_until(now, submissions[index])) end(now, index, true);
   if (!room_left(now) || std::none_of(executors.begin(), executors.end(), [&](Executor& e) {
         return e.standing == Standing::kReady && has_room(e) &&
-               (!tells_held(now, e) || begins_by(now, e, now + leeway_));
+               (!tells_held(now, e) || from_seconds(wait_at(now, e)) <= leeway_);
       }))
     return;
   std::vector<std::pair<double, int>> order;
@@ -898,20 +849,19 @@
                                 std::uint64_t key, Time stop_by) {
   if (index >= static_cast<int>(submissions.size())) submissions.resize(index + 1);
   Submission& submission = submissions[index];
-  submission = Submission{};
-  submission.open = true;
-  submission.serial = ++serial_;
-  submission.use_case = use_case;
-  submission.width = width;
-  submission.hint = hint;
-  submission.key = key;
-  submission.arrived = now;
-  // A node that stood still finds what came meanwhile. Where clients wait for the whole hard limit, what is
-  // left of it tells how long ago that was; less than half of it tells of little patience. Only behind a live
-  // list: real clients wait for less, and zone+vast lost 0.05 by it on sockets.
+  submission = {.open = true,
+                .serial = ++serial_,
+                .use_case = use_case,
+                .width = width,
+                .hint = hint,
+                .key = key,
+                .arrived = now,
+                .due = std::min(due, stop_by),
+                .launches = {}};
+  // A node that stood still finds what came meanwhile: what is left of the hard limit tells how long ago,
+  // less than half of it of little patience. Not on sockets today: clients that wait for less lost 0.05.
   const Time limit = settings_.use_cases[use_case].hard_limit;
   if (settings_.live_weights && due - now > limit / 2) submission.arrived = std::min(now, due - limit);
-  submission.due = std::min(due, stop_by);
   arrivals_.add(now, kHealthLife, 1);
   asked_value_.add(now, kHealthLife, settings_.use_cases[use_case].billing_value);
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
@@ -922,8 +872,7 @@
   place(now, index);
 }
 
-// A multiple of what launches have waited of late on the whole fleet, so that a trouble shared by all blames
-// nobody.
+// A multiple of what launches have waited of late, so that a trouble shared by all blames nobody.
 static Time long_wait(Time now, DecayingSum& waits, DecayingSum& launches, Time least) {
   constexpr double kMultiple = 5;  // a queue's wait spreads widely
   const double count = launches.read(now, kHealthLife);
@@ -937,8 +886,7 @@
   return long_wait(now, start_wait_, starts_, kLeast);
 }
 
-// The same for one that is not known to be taken: that word waits in no queue. Of 438 taken over sockets the
-// slowest took 69 ms, most of it a handshake across zones.
+// The same until it is taken, which waits in no queue: of 438 over sockets the slowest took 69 ms.
 Time Policy::taken_patience(Time now) {
   constexpr Time kLeast = kSecond * 15 / 100;
   return long_wait(now, taken_wait_, taken_, kLeast);
@@ -993,14 +941,12 @@
     return end(now, index, true);
   }
   if (stuck) seek_elsewhere(now, index, silent);
-  // What waits in a queue will begin. One that nobody has, or that fell silent as it ran, will not: where
-  // nobody else may be had at this moment it is looked at again soon, not just before its hard limit.
+  // One that nobody has, or that fell silent as it ran, is looked at again soon where nobody else may be had.
   if (stuck && (silent || begun) && !launch->cancelled) next = std::min(next, now + kSecond / 20);
   if (next < submission.due) wake(next, index);
 }
 
-// A launch that does not move is taken back to be sent elsewhere, if anywhere else has room and the effect
-// permits it.
+// A launch that does not move is taken back if anybody else has room and the effect permits it.
 void Policy::seek_elsewhere(Time now, int index, bool silent) {
   Submission& submission = submissions[index];
   Launch& launch = submission.launches.back();
@@ -1061,13 +1007,11 @@
 
 void Policy::launch_ended(Time now, int index, int number, Outcome outcome, Time latency, bool settled,
                           const Load* load) {
-  // A sound executor hardly ever errs, while one that fails at once has the shortest queue and keeps winning:
-  // one error must outweigh the successes of its last seconds.
+  // Who fails at once has the shortest queue and keeps winning: an error must outweigh its last successes.
   constexpr double kErrorWeight = 3;
   constexpr double kLittleWeight = 0.5;  // one success makes up for two of them
   constexpr double kSpeedWeight = 0.2;   // the design page's start
-  constexpr double kCostWeight =
-      0.02;  // costs spread widely; one heavy submission must not move the mean far
+  constexpr double kCostWeight = 0.02;   // costs spread widely; a heavy one must not move the mean far
   Submission& submission = submissions[index];
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
@@ -1078,8 +1022,7 @@
   if (tells_held(now, executor) && executor.held <= most_held(now, executor)) room_ += 1;
   executor.used = now;
   // One that ends without an answer takes its connection with it.
-  if (settings_.streams == 1 && outcome != Outcome::kSatisfied && outcome != Outcome::kErrored &&
-      outcome != Outcome::kTurnedAway)
+  if (outcome != Outcome::kSatisfied && outcome != Outcome::kErrored && outcome != Outcome::kTurnedAway)
     connection_closed(launch.executor);
   take_load(executor, load);
   if (outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway)
@@ -1112,24 +1055,18 @@
     case Outcome::kErrored:
       executor.bad.add(now, kHealthLife, kErrorWeight);
       break;
-    // A process that dies takes all its connections along, and refuses the next. One that breaks while others
-    // stay tells of the way there: on a day of resets nearly all executors were in doubt, and new connections
-    // were opened beside free ones.
-    case Outcome::kBroken: {
-      const bool alone = settings_.streams == 1 && executor.connections > 0;
-      executor.bad.add(now, kHealthLife, alone ? kLittleWeight : kErrorWeight);
+    // A process that dies takes all its connections along. One that breaks while others stay tells of the way
+    // there: on a day of resets nearly all executors were in doubt.
+    case Outcome::kBroken:
+      executor.bad.add(now, kHealthLife, executor.connections > 0 ? kLittleWeight : kErrorWeight);
       break;
-    }
     case Outcome::kTurnedAway:
       executor.bad.add(now, kHealthLife, kLittleWeight);
       break;
     case Outcome::kTimedOut:
       blame(now, launch);
       break;
-    // It may have died any time since it was used last, and says nothing of its executor now.
-    case Outcome::kStale:
-    case Outcome::kCancelled:
-    case Outcome::kUnsent:
+    default:  // cancelled, unsent, or a connection that may have died any time since it was used last
       break;
   }
   if (settled) {
@@ -1140,15 +1077,11 @@
     if (now >= submission.due - settings_.quantum) {
       end(now, index, true);
     } else if (!pending(submission)) {
-      // What may go again waits for room, also where it may no longer be pushed back; an abort would be
-      // hasty.
+      // What may go again waits for room, also where it may no longer be pushed back.
       const bool spent = static_cast<int>(submission.launches.size()) >= settings_.most_launches ||
                          (settings_.use_cases[submission.use_case].effect == Effect::kSingleUse &&
                           !may_push_back(submission));
-      if (spent)
-        end(now, index, true);
-      else
-        place(now, index);
+      spent ? end(now, index, true) : place(now, index);
     }
   } else {
     cancel_pending(index);
@@ -1191,20 +1124,13 @@
       end(now, static_cast<int>(i), true);
 }
 
-void Policy::executor_learned(Time now, int index, const Executor& learned) {
+void Policy::executor_learned(Time now, int index, const Learned& learned) {
   Executor& executor = executors[index];
   count_speed(executor, -1);
-  executor.work = learned.work;
-  executor.latency = learned.latency;
-  executor.good = learned.good;
-  executor.bad = learned.bad;
-  executor.wait = learned.wait;
-  executor.away = learned.away;
-  executor.away_until = learned.away_until;
-  executor.size = std::max(executor.size, learned.size);
-  std::erase_if(executor.cold_sends,
-                [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
-  executor.cold_sends.insert(executor.cold_sends.end(), learned.cold_sends.begin(), learned.cold_sends.end());
+  Learned before = std::exchange(static_cast<Learned&>(executor), learned);
+  executor.size = std::max(executor.size, before.size);
+  std::erase_if(before.cold_sends, [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
+  executor.cold_sends.insert(executor.cold_sends.end(), before.cold_sends.begin(), before.cold_sends.end());
   count_speed(executor, 1);
 }
 
@@ -1227,19 +1153,17 @@
   submission.open = true;
   submission.held = false;
   submission.serial = ++serial_;
-  for (const Launch& launch : submission.launches) {
-    if (!launch.pending) continue;
-    connection_taken_over(launch.executor, now);
-    Executor& executor = executors[launch.executor];
-    ++executor.open;
-    executor.open_cost += launch.cost;
-    if (launch.began < 0)
-      ++executor.unstarted;
-    else
-      count_running(executor, submission, launch);
-  }
   wake(submission.due - 2 * settings_.quantum, index);
   if (!pending(submission)) return place(now, index);
+  const Launch& launch = submission.launches.back();
+  connection_taken_over(launch.executor, now);
+  Executor& executor = executors[launch.executor];
+  ++executor.open;
+  executor.open_cost += launch.cost;
+  if (launch.began < 0)
+    ++executor.unstarted;
+  else
+    count_running(executor, submission, launch);
   wake(now, index);
 }
 
@@ -1247,22 +1171,17 @@
   Submission& submission = submissions[index];
   submission.open = false;
   let_go(index);
-  for (Launch& launch : submission.launches) {
-    if (!launch.pending) continue;
-    close_launch(now, submission, launch);
-    connection_closed(launch.executor);
-  }
+  if (!pending(submission)) return;
+  close_launch(now, submission, submission.launches.back());
+  connection_closed(submission.launches.back().executor);
 }
 
 void Policy::each_sum(const std::function<void(const char*, DecayingSum&)>& visit) {
-  visit("arrivals", arrivals_);
-  visit("waited", waited_);
-  visit("askedValue", asked_value_);
-  visit("askedWork", asked_work_);
-  visit("startWait", start_wait_);
-  visit("starts", starts_);
-  visit("takenWait", taken_wait_);
-  visit("taken", taken_);
+  const std::pair<const char*, DecayingSum*> sums[] = {
+      {"arrivals", &arrivals_},    {"waited", &waited_},        {"askedValue", &asked_value_},
+      {"askedWork", &asked_work_}, {"startWait", &start_wait_}, {"starts", &starts_},
+      {"takenWait", &taken_wait_}, {"taken", &taken_}};
+  for (const auto& [name, sum] : sums) visit(name, *sum);
 }
 
 void Policy::timer_due(Time now, std::uint64_t token) {
--- a/src/policy.h
+++ b/src/policy.h
@@ -54,7 +54,6 @@
   bool ask_for_roster = false;
   Time ask_within = kNever;
   Time quantum = 0;
-  int streams = 1;  // launches that one connection carries at once
   Time connection_idle = 0;
   double connection_price = 0;  // of one opened, in the mean value of a submission
   int most_launches = 1;
@@ -84,29 +83,33 @@
   void add(Time now, Time life, double amount);
 };
 
-struct Executor {
+// What is known of an executor beyond the list, and goes on in another process of this node.
+struct Learned {
+  double work = 0, latency = 0;   // smoothed, of satisfied launches; their ratio is the speed
+  DecayingSum good, bad;          // outcomes, for the posterior of its chance of success
+  DecayingSum wait;               // seconds that the last launch waited to begin
+  Time away_until = 0, away = 0;  // nobody was there: not before then, and for how long that is
+  double size = 0;                // the most that the list has weighed it
+  std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
+};
+
+struct Executor : Learned {
   bool known = false;
   std::uint64_t listed = 0;  // the last list that named it
   Standing standing = Standing::kGone;
   int zone = 0, kind = 0, cell = 0;
   std::uint64_t identity = 0;  // the same at all nodes
-  double size = 0;             // the most that the list has weighed it
   double weight = -1;          // last told by the list
   double held = -1;            // submissions for each core there when it was last weighed; negative: not told
   int open_when_weighed = 0;
-  Time started = 0;               // 0: long ago
-  double work = 0, latency = 0;   // smoothed, of satisfied launches; their ratio is the speed
-  DecayingSum good, bad;          // outcomes, for the posterior of its chance of success
-  Time away_until = 0, away = 0;  // nobody was there: not before then, and for how long that is
-  int connections = 0;            // open to it, busy or idle
-  Time used = 0;                  // when one was last
-  int open = 0, unstarted = 0;    // own launches unfinished, and of these not known to have begun
+  Time started = 0;             // 0: long ago
+  int connections = 0;          // open to it, busy or idle
+  Time used = 0;                // when one was last
+  int open = 0, unstarted = 0;  // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0;
   double running_cost = 0, running_since = 0;  // of those begun: cost, and the sum of when, in seconds
-  DecayingSum wait;                            // seconds that the last launch waited to begin
   Time lot_at = -kNever;
   double lot = 1;  // drawn for this span: whether one launch may go while it is cold
-  std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold, for rule 4
 };
 
 struct Zone {
@@ -173,7 +176,7 @@
 
   // What another process of this node knew, and has open, goes on here. Executors and use cases are known by
   // then; connections that no launch uses are told one by one.
-  void executor_learned(Time now, int executor, const Executor& learned);
+  void executor_learned(Time now, int executor, const Learned& learned);
   void work_learned(int use_case, double work, double weight);
   void connection_taken_over(int executor, Time used);
   void submission_taken_over(Time now, int submission, Submission open);
@@ -220,6 +223,7 @@
   void close_launch(Time now, Submission& submission, Launch& launch);
   void count_running(Executor& executor, const Submission& submission, const Launch& launch);
   void follow_list(Time now);
+  void ask_again(Time now, Time pause, double spread);
   Time asking_span() const;
   Time longest_pause() const;
   void tick(Time now);
@@ -250,7 +254,6 @@
   bool keeps_to(Time now, const Submission& submission, Executor& executor);
   bool cold(Time now, const Executor& executor) const;
   double wait_at(Time now, Executor& executor);
-  bool begins_by(Time now, Executor& executor, Time latest);
   bool ready(Time now, const Submission& submission, int executor, bool ask_health);
   Time shortest_leeway() const;
   void share_room(Time now);
