--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,8 +1,7 @@
-// The decisions of one node: one method for each thing that happens; the Policy calls its Host at once.
-// The ordinary path is TPD (docs/design.md): pick() draws candidates by apparent speed and takes the least
-// estimated finish. Beside it stand six mechanisms: health (doubted), time-outs and further launches
-// (further), overload pushback (keep_until, share_room, serve_held), homes and connected ones first
-// (find_homes, find_ready), the cold budget (cold_budget) and following the list (follow_list).
+// The decisions of one node. One method for each thing that happens; the Policy calls its Host at once.
+// The ordinary path is TPD (docs/design.md): pick(). Beside it: health (doubted), further launches (further),
+// overload pushback (keep_until, share_room, serve_held), homes and connected ones first (find_homes,
+// find_ready), the cold budget (cold_budget), following the list (follow_list).
 #include "policy.h"
 
 #include <algorithm>
@@ -18,20 +17,17 @@
   return static_cast<Time>(value * kSecond);
 }
 
-// How fast outcomes are forgotten: a few times the length of a passing trouble's first signs.
-constexpr Time kHealthLife = 8 * kSecond;
+constexpr Time kHealthLife = 8 * kSecond;  // a few times the length of a passing trouble's first signs
 
 double uniform(std::mt19937& random) {
   return (static_cast<double>(random()) + 0.5) / 4294967296.0;
 }
 
-// The wake-up of the node's own housekeeping.
-constexpr std::uint64_t kTickToken = 0;
-constexpr Time kTick = kSecond / 4;  // often enough to ask for the list again in time
+constexpr std::uint64_t kTickToken = 0;  // the wake-up of the node's own housekeeping
+constexpr Time kTick = kSecond / 4;      // often enough to ask for the list again in time
 constexpr int kIndexBits = 24;
-constexpr double kPlenty = 1e9;  // of room
-// A start with less chance to be in time is not worth its place in a crowd. 0.7 to 0.85 fare alike.
-constexpr double kGiveWayChance = 0.8;
+constexpr double kPlenty = 1e9;         // of room
+constexpr double kGiveWayChance = 0.8;  // less is not worth a place in a crowd; 0.7 to 0.85 fare alike
 
 }  // namespace
 
@@ -71,7 +67,7 @@
   if (kind >= static_cast<int>(widest.size())) widest.resize(kind + 1, 1.0);
   Executor& executor = executors[index];
   // A process that has restarted is a new one: what was learned of its health and load is void.
-  if (executor.known && started > executor.started) {
+  if (executor.listed > 0 && started > executor.started) {
     executor.good = executor.bad = DecayingSum{};
     executor.away_until = executor.away = 0;
     word_from(executor);
@@ -79,7 +75,6 @@
     executor.cold_sends.clear();
   }
   count_speed(executor, -1);
-  executor.known = true;
   executor.listed = list_ + 1;
   executor.zone = zone;
   executor.kind = kind;
@@ -88,13 +83,12 @@
   weigh(executor, weight);
   executor.standing = standing;
   executor.started = std::min(std::max(executor.started, started), now);
-  if (cold(now, executor) && std::find(newcomers_.begin(), newcomers_.end(), index) == newcomers_.end())
+  if (cold(now, executor) && std::ranges::find(newcomers_, index) == newcomers_.end())
     newcomers_.push_back(index);
   count_speed(executor, 1);
 }
 
-// A live weight is the size divided by 1 + what is held for each core. It comes late, but tells what all
-// nodes together have sent there.
+// A live weight is the size divided by 1 + what is held for each core, by all nodes together.
 void Policy::weigh(Executor& executor, double weight) {
   if (!settings_.live_weights || !std::isfinite(weight) || weight <= 0) return;
   const double before = std::exchange(executor.weight, weight);
@@ -114,15 +108,14 @@
   return executor.held >= 0 && now - shared_at_ < kFresh;
 }
 
-// How long a queue the list may show before there is no room: half of what the most urgent use case can wait,
-// as what is sent until the next list is on its way already. A quarter and all of it lose.
-double Policy::most_held(Time now, const Executor& executor) const {
+// The longest queue in the list that still is room: half of what the most urgent can wait; 1/4 and 1 lose.
+double Policy::most_held(const Executor& executor) const {
   constexpr double kPart = 0.5;
-  return 1 + kPart * seconds(leeway_) / mean_work_ * speed_now(now, executor);
+  return 1 + kPart * seconds(leeway_) / mean_work_ * speed(executor);
 }
 
-// All nodes see the same room in the same list, late: queues were full a moment after. So where more is asked
-// for than there is, this node sends no more than its part of it, and what ends gives its place back.
+// All nodes see the same room in the same late list. Where more is asked for than there is, this node sends
+// no more than its part of it, and what ends gives its place back.
 void Policy::share_room(Time now) {
   constexpr double kCrowded = 1.5;  // 1 and 2 fare alike
   if (!std::exchange(weighed_, false)) return;
@@ -131,7 +124,7 @@
   double room = 0;
   for (const Executor& executor : executors)
     if (executor.standing == Standing::kReady && executor.held >= 0)
-      room += width(executor) * std::max(0.0, most_held(now, executor) - executor.held);
+      room += width(executor) * std::max(0.0, most_held(executor) - executor.held);
   room /= settings_.replicas;
   const double asked =
       static_cast<double>(held_.size()) + arrivals_.read(now, kHealthLife) / seconds(kHealthLife) * period;
@@ -158,7 +151,6 @@
     subscribed_ = true;
     ask_pause_ = 0;
   } else if (!subscribed_ && !executors.empty()) {
-    // Nodes start together, and what is remembered is as good as a list that comes some seconds later.
     next_ask_ = now + from_seconds(seconds(asking_span()) * uniform(random_));
   }
   share_room(now);
@@ -184,8 +176,6 @@
   next_ask_ = now + from_seconds(spread);
 }
 
-// A failed call, or a subscription that broke. Waits are spread out and grow, but stay well inside the time
-// after which we are deemed to have been told.
 void Policy::roster_refused(Time now) {
   const Time pause = std::clamp(2 * ask_pause_, asking_span(), longest_pause());
   ask_again(now, pause, seconds(pause) * (0.5 + uniform(random_)));
@@ -216,7 +206,6 @@
 
 // --- TPD ---
 
-// Kept up to date at each change: a sum over a large fleet for every submission costs too much.
 void Policy::count_speed(const Executor& executor, int sign) {
   if (executor.latency <= 0 || executor.standing != Standing::kReady) return;
   speed_sum_ += sign * executor.work / executor.latency;
@@ -231,17 +220,6 @@
   return executor.latency > 0 ? executor.work / executor.latency : mean_speed();
 }
 
-// The speed as what still runs there shows it: one that has slowed down ends late, and only ends teach.
-double Policy::speed_now(Time now, const Executor& executor) const {
-  constexpr double kWeight = 0.2;  // as for one that has ended
-  const double v = speed(executor);
-  const int running = executor.open - executor.unstarted;
-  if (running == 0) return v;
-  const double over = running * seconds(now) - executor.running_since - executor.running_cost / v;
-  const double latency = executor.latency > 0 ? executor.latency : 1;
-  return over <= 0 ? v : v * latency / (latency + kWeight * over);
-}
-
 double Policy::cost(const Submission& submission) const {
   return submission.hint > 0 ? submission.hint : work_[submission.use_case];
 }
@@ -260,14 +238,12 @@
 }
 
 Time Policy::delay(const Executor& executor) const {
-  if (executor.zone == settings_.zone || executor.zone < 0) return 0;
-  if (settings_.zone < 0 || settings_.zone >= static_cast<int>(zones.size())) return 0;
-  const Zone& there = zones[executor.zone];
-  const Zone& here = zones[settings_.zone];
-  const Time there_shortest = std::min(there.now, there.before);
-  const Time here_shortest = std::min(here.now, here.before);
-  if (there_shortest == kNever || here_shortest == kNever) return 0;
-  return std::max<Time>(0, there_shortest - here_shortest);
+  if (executor.zone == settings_.zone || executor.zone < 0 || settings_.zone < 0 ||
+      settings_.zone >= static_cast<int>(zones.size()))
+    return 0;
+  const Zone &zone = zones[executor.zone], &ours = zones[settings_.zone];
+  const Time there = std::min(zone.now, zone.before), here = std::min(ours.now, ours.before);
+  return there == kNever || here == kNever ? 0 : std::max<Time>(0, there - here);
 }
 
 // The number of candidates: the smallest integer in [(1 - epsilon) f, (1 + epsilon) f], from 2 to K.
@@ -278,7 +254,7 @@
   const auto [least, most] = std::minmax_element(chances.begin(), chances.end());
   const double alpha = 1.0 / (count * *least);
   const double beta = count * *most;
-  double f = 1.0;  // the formula's limit for equal chances
+  double f = 1.0;  // the limit for equal chances
   if (alpha > 1.0 + 1e-9 && beta > 1.0 + 1e-9)
     f = std::log((alpha * beta - 1) / (alpha - 1)) / std::log((alpha * beta - 1) / (alpha * beta - beta));
   if (!std::isfinite(f)) return count;
@@ -286,13 +262,7 @@
   return std::clamp(static_cast<int>(std::ceil(lower)), 2, count);
 }
 
-bool Policy::tried(const Submission& submission, int executor) const {
-  return std::any_of(submission.launches.begin(), submission.launches.end(),
-                     [&](const Launch& launch) { return launch.executor == executor; });
-}
-
-// A launch's own wait until it began tells of the queue that all nodes make. It fades over two mean runs, as
-// a queue drains by runs: one length in seconds suits no two deployments.
+// A launch's wait until it began tells of the queue that all nodes make, which drains by runs.
 Time Policy::wait_life() const {
   constexpr double kRuns = 2;
   return std::max<Time>(1, from_seconds(kRuns * mean_work_));
@@ -303,15 +273,13 @@
   executor.wait = {std::max(0.0, seconds(now - launch.sent - delay(executor))), now};
 }
 
-// What a launch waits where nothing is queued: a handshake, jitter and a few beats of the clock.
-constexpr Time kNoQueue = kSecond / 40;
+constexpr Time kNoQueue = kSecond / 40;  // a wait without a queue: a handshake, jitter, beats of the clock
 
-// Seconds that one sent now is likely to wait there: what is held beyond its slots, in mean runs, where the
-// list tells it; else as the last one waited. The longer of the two loses where both are told.
+// Seconds that one sent now is likely to wait there, by the list, else by the last one.
 double Policy::wait_at(Time now, Executor& executor) {
   if (!tells_held(now, executor)) return executor.wait.read(now, wait_life());
   const double more = executor.open - executor.open_when_weighed + 1;
-  return std::max(0.0, executor.held - 1 + more / width(executor)) * mean_work_ / speed_now(now, executor);
+  return std::max(0.0, executor.held - 1 + more / width(executor)) * mean_work_ / speed(executor);
 }
 
 double Policy::width(const Executor& executor) const {
@@ -332,14 +300,13 @@
 double Policy::opening(Time now, const Submission& submission) {
   if (settings_.connection_price <= 0) return 0;
   const UseCase& use_case = settings_.use_cases[submission.use_case];
-  const double mean_value =
-      asked_value_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
+  const double value = asked_value_.read(now, kHealthLife) / std::max(1e-9, arrivals_.read(now, kHealthLife));
   const double falls = std::max(1e-9, use_case.billing_value * std::max(0.1, 1 - use_case.overdue_value));
-  return settings_.connection_price * mean_value / falls * mean_leeway(submission);
+  return settings_.connection_price * value / falls * mean_leeway(submission);
 }
 
-// Fills the ready set, from the whole roster or from the connected executors and the cold ones: whoever has
-// two connections would never meet the successors of the others, and what it may send them would be lost.
+// Fills the ready set, from the whole roster or from the connected executors and, as none would meet them,
+// the cold ones.
 void Policy::find_ready(Time now, const Submission& submission, bool connected_only, bool ask_health) {
   ready_.clear();
   if (!connected_only) return look_through(now, submission, order_, ask_health);
@@ -353,8 +320,7 @@
   look_through(now, submission, near_, ask_health);
 }
 
-// A look at all of a large fleet costs too much: from a random place in an order of this node's own it goes
-// on for kLooks, and then only until as many are ready as TPD draws at least.
+// A look at all of a large fleet costs too much: from a random place in an order of this node's own.
 void Policy::look_through(Time now, const Submission& submission, const std::vector<int>& from,
                           bool ask_health) {
   constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
@@ -376,19 +342,17 @@
          now + from_seconds(wait_at(now, executor)) <=
              (tells_held(now, executor) ? std::min(latest_, now + leeway_) : latest_) &&
          may_launch(now, submission, i) &&
-         (!ask_health || (!tried(submission, i) && !doubted(now, executor) &&
-                          (executor.zone < 0 || !zones[executor.zone].left_out)));
+         (!ask_health ||
+          (std::ranges::find(submission.launches, i, &Launch::executor) == submission.launches.end() &&
+           !doubted(now, executor) && (executor.zone < 0 || !zones[executor.zone].left_out)));
 }
 
 // How long anything may wait in a queue that all share: as long as the most urgent use case can.
 Time Policy::shortest_leeway() const {
+  Submission usual{.use_case = 0, .due = kNever, .launches = {}};
   Time least = kNever;
-  for (std::size_t i = 0; i < settings_.use_cases.size(); ++i) {
-    Submission usual;
-    usual.use_case = static_cast<int>(i);
-    usual.due = kNever;
+  for (; usual.use_case < static_cast<int>(settings_.use_cases.size()); ++usual.use_case)
     least = std::min(least, last_start(usual, kGiveWayChance));
-  }
   return least;
 }
 
@@ -403,12 +367,8 @@
 
 void Policy::count_key(Time now, std::uint64_t key, double work) {
   keyed_work_.add(now, kKeyLife, work);
-  auto found = std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == key; });
-  if (found == keys_.end()) {
-    if (keys_.size() >= kMostKeys) keys_.erase(keys_.begin());
-    found = keys_.insert(keys_.end(), {key, DecayingSum{}});
-  }
-  found->second.add(now, kKeyLife, work);
+  if (keys_.size() >= kMostKeys && !keys_.contains(key)) keys_.erase(keys_.begin());
+  keys_[key].add(now, kKeyLife, work);
 }
 
 // Where executors keep data every node has to send a key's work to the same few: rendezvous hashing by the
@@ -419,14 +379,12 @@
   for (std::size_t i = 0; i < executors.size(); ++i) {
     const Executor& executor = executors[i];
     if (executor.standing != Standing::kReady || executor.size <= 0) continue;
-    constexpr double kScale = 1.0 / (1ull << 53);
     const double u = static_cast<double>(mixed(mixed(executor.identity) ^ submission.key) >> 11) + 0.5;
-    ranks_.emplace_back(-std::log(u * kScale) / executor.size, static_cast<int>(i));
+    ranks_.emplace_back(-std::log(std::ldexp(u, -53)) / executor.size, static_cast<int>(i));
     all += executor.size;
   }
-  std::sort(ranks_.begin(), ranks_.end());
-  const auto found =
-      std::find_if(keys_.begin(), keys_.end(), [&](const auto& k) { return k.first == submission.key; });
+  std::ranges::sort(ranks_);
+  const auto found = keys_.find(submission.key);
   double part = 0;  // without this one: a key seen once is not popular
   if (found != keys_.end())
     part = (found->second.read(now, kKeyLife) - cost(submission)) / keyed_work_.read(now, kKeyLife);
@@ -441,8 +399,8 @@
   return homes;
 }
 
-// Fills the ready set with the homes of the key, or whoever comes behind them in its order, whose queue is
-// short; returns how many of these keep its data, be it only from now on.
+// Fills the ready set with homes of the key, or those behind them, whose queue is short; returns how many
+// keep it.
 std::size_t Policy::find_homes(Time now, const Submission& submission) {
   constexpr double kShort = 1.5;  // mean runs; 0.25 sends too much away from its data, 1 to 3 fare alike
   ready_.clear();
@@ -461,11 +419,10 @@
 // than a stranger of the usual speed and wait with a new connection. Else every node opened a second.
 bool Policy::keeps_to(Time now, const Submission& submission, Executor& executor) {
   if (settings_.connection_price <= 0) return false;
-  const double work = cost(submission), v = speed_now(now, executor);
-  const double usual_wait =
-      start_wait_.read(now, kHealthLife) / std::max(1.0, starts_.read(now, kHealthLife));
+  const double work = cost(submission), v = speed(executor);
+  const double usual = start_wait_.read(now, kHealthLife) / std::max(1.0, starts_.read(now, kHealthLife));
   return (executor.open_cost + work) / v + executor.wait.read(now, wait_life()) <=
-         work / mean_speed() + usual_wait + opening(now, submission);
+         work / mean_speed() + usual + opening(now, submission);
 }
 
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
@@ -479,19 +436,17 @@
     if (ready_.size() < kLeastReady &&
         !(ready_.size() == 1 && keeps_to(now, submission, executors[ready_[0]])))
       find_ready(now, submission, false, true);
-    // If every executor looks bad the work still flows.
     if (ready_.empty()) find_ready(now, submission, false, false);
   }
   if (ready_.empty()) return -1;
-  const double work = cost(submission);
-  const double price = opening(now, submission);
+  const double work = cost(submission), price = opening(now, submission);
   constexpr double kFetch = 1;  // mean runs, with what it costs others; 0.25 loses, 0.7 to 2 fare alike
   const double fetch = at_home > 0 ? kFetch * mean_work_ : 0;
   double sum = 0;
   chances_.clear();
   delays_.clear();
   for (const int i : ready_) {
-    const double p = work / speed_now(now, executors[i]);
+    const double p = work / speed(executors[i]);
     delays_.push_back(seconds(delay(executors[i])) + (connected(now, executors[i]) ? 0 : price) +
                       (delays_.size() < at_home ? 0 : fetch));
     chances_.push_back(work / (p + delays_.back()));
@@ -499,8 +454,7 @@
   }
   for (double& chance : chances_) chance /= sum;
   int best = -1;
-  double least = 0;
-  double left = 1;
+  double least = 0, left = 1;
   for (int draws = choices(chances_); draws > 0; --draws) {
     double at = uniform(random_) * left;
     std::size_t drawn = chances_.size();
@@ -511,7 +465,7 @@
       if (at < 0) break;
     }
     Executor& executor = executors[ready_[drawn]];
-    const double v = speed_now(now, executor);
+    const double v = speed(executor);
     const double queued = (tells_held(now, executor) ? 0 : executor.open_cost / v) + wait_at(now, executor);
     const double finish = queued + work / v + delays_[drawn];
     if (best < 0 || finish < least) {
@@ -526,14 +480,11 @@
 
 // --- The four rules ---
 
-// The guard before every launch.
 bool Policy::may_launch(Time now, const Submission& submission, int index) {
   Executor& executor = executors[index];
-  // Rule 1: nothing for a submission that is over.
-  if (!submission.open || now >= submission.due) return false;
+  if (!submission.open || now >= submission.due) return false;  // rule 1
   if (static_cast<int>(submission.launches.size()) >= settings_.most_launches) return false;
-  // Rule 3: nothing to one that drains or is gone; the grace is slack, not a target.
-  if (executor.standing != Standing::kReady) return false;
+  if (executor.standing != Standing::kReady) return false;  // rule 3; the grace is slack, not a target
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   if (use_case.machine_kind >= 0 && executor.kind != use_case.machine_kind) return false;
   // Rule 2: what may have run goes again only as the use case allows.
@@ -575,10 +526,9 @@
 
 bool Policy::may_push_back(const Submission& submission) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
-  if (use_case.effect == Effect::kReplayable) return true;
-  if (use_case.effect == Effect::kReferenced && use_case.group == Group::kAll) return true;
-  return std::none_of(submission.launches.begin(), submission.launches.end(),
-                      [](const Launch& launch) { return launch.may_have_run; });
+  return use_case.effect == Effect::kReplayable ||
+         (use_case.effect == Effect::kReferenced && use_case.group == Group::kAll) ||
+         std::ranges::none_of(submission.launches, &Launch::may_have_run);
 }
 
 // What this node may send a cold executor within any span: its share of all, for the least possible capacity.
@@ -599,9 +549,8 @@
   executors[launch.executor].bad.add(now, kHealthLife, 1);
 }
 
-// A zone that is lost was found out executor by executor: over half of all launches went to somebody who was
-// not there. So executors of it that are not there in turn, with no word from any between, leave the others
-// out too, by a draw for each pick, so that a look still goes there.
+// Executors of a zone that are not there in turn, with no word from any between, leave the others out too, by
+// a draw for each pick: else over half of all launches went to somebody who was not there.
 constexpr Time kZoneLife = 2 * kSecond;
 
 void Policy::draw_zones(Time now) {
@@ -617,8 +566,8 @@
   if (executor.zone >= 0) zones[executor.zone].unanswered.value = 0;
 }
 
-// Whoever refuses a connection is the first to be free again: four dead of nine took all launches of every
-// submission. So for a pause, which grows, nothing goes there. Launches that find it together are one look.
+// Whoever refuses a connection is the first to be free again: four dead of nine took all launches. So for a
+// pause, which grows, nothing goes there. Launches that find it together are one look.
 void Policy::nobody_there(Time now, Executor& executor) {
   constexpr Time kFirst = kSecond / 20;  // a single connection that did not come up costs little
   if (now < executor.away_until) return;
@@ -632,16 +581,14 @@
 
 // Drawn from the posterior of its chance of success: a doubtful executor is never quite forgotten.
 bool Policy::doubted(Time now, Executor& executor) {
-  if (executor.bad.value < kNoDoubt) return false;
-  const double bad = executor.bad.read(now, kHealthLife);
-  if (bad < kNoDoubt) return false;
-  const double good = executor.good.read(now, kHealthLife);
-  std::gamma_distribution<double> wins(1 + good), losses(1 + bad);
+  if (executor.bad.value < kNoDoubt || executor.bad.read(now, kHealthLife) < kNoDoubt) return false;
+  std::gamma_distribution<double> wins(1 + executor.good.read(now, kHealthLife)),
+      losses(1 + executor.bad.value);
   const double win = wins(random_);
   return win / (win + losses(random_)) < kSoundChance;
 }
 
-// What an onlooker is told: nobody was there, or the mean is below what a draw has to reach.
+// What an onlooker is told.
 bool Policy::avoided(Time now, const Executor& executor) const {
   if (now < executor.away_until) return true;
   DecayingSum good = executor.good, bad = executor.bad;
@@ -689,20 +636,15 @@
     --executor.unstarted;
   } else {
     executor.running_width -= submission.width;
-    const bool last = executor.open == executor.unstarted;
-    executor.running_cost = last ? 0 : executor.running_cost - launch.cost;
-    executor.running_since = last ? 0 : executor.running_since - seconds(launch.began);
   }
 }
 
-// One launch is out at a time, the last.
 bool Policy::pending(const Submission& submission) {
   return !submission.launches.empty() && submission.launches.back().pending;
 }
 
 void Policy::wake(Time when, int index) {
-  host_.wake_at(when,
-                (std::uint64_t{submissions[index].serial} << kIndexBits) | static_cast<std::uint64_t>(index));
+  host_.wake_at(when, std::uint64_t{submissions[index].serial} << kIndexBits | static_cast<unsigned>(index));
 }
 
 void Policy::cancel_pending(int index) {
@@ -729,7 +671,7 @@
   host_.wake_at(held_look_, kHeldToken);
 }
 
-// What the mean submission of its use case may wait beyond its agreed time and still be in time.
+// What the mean one of its use case may wait beyond its agreed time and still be in time.
 double Policy::mean_leeway(const Submission& submission) const {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   return cost(submission) * std::max(0.1, use_case.stretch - 1 / mean_speed());
@@ -745,14 +687,11 @@
 }
 
 double Policy::chance_in_time(Time now, const Submission& submission) const {
-  const UseCase& use_case = settings_.use_cases[submission.use_case];
-  const Time over = now - submission.arrived - use_case.agreed_time;
-  if (over <= 0) return 1;
-  return std::exp(-seconds(over) / mean_leeway(submission));
+  const Time over = now - submission.arrived - settings_.use_cases[submission.use_case].agreed_time;
+  return over <= 0 ? 1 : std::exp(-seconds(over) / mean_leeway(submission));
 }
 
-// Told by how long the oldest held submission has waited, and for a while after: when room appears the held
-// ones go at once, and the crowd is still there.
+// Told by how long the oldest held submission has waited, and for a while after, as the crowd is still there.
 bool Policy::overloaded(Time now) {
   constexpr Time kLongWait = kSecond / 20;  // longer than a beat of the clock and a round trip
   if (!held_.empty() && now - submissions[held_.front()].arrived > kLongWait) overload_seen_ = now;
@@ -760,8 +699,7 @@
 }
 
 double Policy::value_per_work(const Submission& submission) const {
-  const double work = cost(submission) * submission.width;
-  return settings_.use_cases[submission.use_case].billing_value / work;
+  return settings_.use_cases[submission.use_case].billing_value / (cost(submission) * submission.width);
 }
 
 // Until when a submission that has not begun is kept: while its chance to be in time, times its value per
@@ -803,13 +741,11 @@
   std::vector<std::pair<double, int>> order;
   for (const int index : held_) {
     const Submission& submission = submissions[index];
-    const UseCase& use_case = settings_.use_cases[submission.use_case];
     const double chance = chance_in_time(now, submission);
-    const double part = chance + (1 - chance) * use_case.overdue_value;
+    const double part = chance + (1 - chance) * settings_.use_cases[submission.use_case].overdue_value;
     order.emplace_back(-value_per_work(submission) * part, index);
   }
-  std::stable_sort(order.begin(), order.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::ranges::stable_sort(order, {}, &std::pair<double, int>::first);
   // Where so many in turn find nobody the others hardly would; hundreds held took a small node all its CPU.
   constexpr int kMostInVain = 8;
   int in_vain = 0;
@@ -823,13 +759,11 @@
   }
 }
 
-// No longer held. At once, as the index of one that is over is used again for the next.
 void Policy::let_go(int index) {
   if (submissions[index].held) std::erase(held_, index);
   submissions[index].held = false;
 }
 
-// The one function that ends a submission.
 void Policy::end(Time now, int index, bool push_back) {
   Submission& submission = submissions[index];
   if (!submission.open) return;
@@ -837,10 +771,8 @@
   let_go(index);
   push_back = push_back && may_push_back(submission);
   cancel_pending(index);
-  if (push_back)
-    host_.push_back(index, now - overload_seen_ < kSecond ? settings_.longest_stay_away : 0);
-  else
-    host_.abort(index);
+  if (!push_back) return host_.abort(index);
+  host_.push_back(index, now - overload_seen_ < kSecond ? settings_.longest_stay_away : 0);
 }
 
 // --- What happens ---
@@ -880,25 +812,16 @@
   return std::max(least, from_seconds(kMultiple * mean));
 }
 
-// How long a launch may go without having begun before its executor is held to be silent.
-Time Policy::start_patience(Time now) {
-  constexpr Time kLeast = kSecond * 3 / 10;  // a handshake, a crossing and a pause
-  return long_wait(now, start_wait_, starts_, kLeast);
-}
-
-// The same until it is taken, which waits in no queue: of 438 over sockets the slowest took 69 ms.
-Time Policy::taken_patience(Time now) {
-  constexpr Time kLeast = kSecond * 15 / 100;
-  return long_wait(now, taken_wait_, taken_, kLeast);
-}
-
 // How long one that has begun may go without progress: one note may come late, a second one is missing.
 Time Policy::progress_patience() const {
   return settings_.progress_every * 3 / 2 + kSecond / 10;
 }
 
-// A waiting launch is taken back when its chance has begun to fall.
-constexpr double kNearlyEaten = 0.9;
+constexpr double kNearlyEaten = 0.9;  // chance, below which a waiting launch is taken back
+
+// How long a launch may go unbegun before its executor is held to be silent: a handshake, a crossing and a
+// pause; until it is taken, which waits in no queue: of 438 over sockets the slowest took 69 ms.
+constexpr Time kLeastStart = kSecond * 3 / 10, kLeastTaken = kSecond * 15 / 100;
 
 // Looks at a submission that may need a further launch, or has come near its hard limit without one.
 void Policy::further(Time now, int index) {
@@ -909,7 +832,7 @@
   bool stuck = launch != nullptr, silent = false;
   Time next = kNever;
   if (launch != nullptr && settings_.tells_taken && !launch->taken) {
-    const Time until = launch->sent + taken_patience(now);
+    const Time until = launch->sent + long_wait(now, taken_wait_, taken_, kLeastTaken);
     silent = now >= until;
     if (!silent) next = until;  // never a time that is past: the timer would be due again at once
     if (silent && !launch->blamed) nobody_there(now, executors[launch->executor]);
@@ -919,7 +842,8 @@
     if (!begun && eaten > now) next = std::min(next, eaten);
     if (begun ? settings_.progress_every == 0 : !settings_.tells_start) {
       stuck = false;
-    } else if (const Time until = launch->heard + (begun ? progress_patience() : start_patience(now));
+    } else if (const Time until = launch->heard + (begun ? progress_patience()
+                                                         : long_wait(now, start_wait_, starts_, kLeastStart));
                now < until) {
       stuck = !begun;
       next = std::min(next, until);
@@ -946,11 +870,11 @@
   if (next < submission.due) wake(next, index);
 }
 
-// A launch that does not move is taken back if anybody else has room and the effect permits it.
+// A launch that does not move is taken back if anybody else has room.
 void Policy::seek_elsewhere(Time now, int index, bool silent) {
   Submission& submission = submissions[index];
   Launch& launch = submission.launches.back();
-  if (!settings_.cancelling || launch.cancelled) return;
+  if (launch.cancelled) return;
   if (launch.began < 0 && !silent &&
       (overloaded(now) || now < last_start(submission, kNearlyEaten) || submission.launches.size() > 1))
     return;
@@ -969,10 +893,8 @@
   taken_.add(now, kHealthLife, 1);
 }
 
-void Policy::count_running(Executor& executor, const Submission& submission, const Launch& launch) {
+void Policy::count_running(Executor& executor, const Submission& submission) {
   executor.running_width += submission.width;
-  executor.running_cost += launch.cost;
-  executor.running_since += seconds(launch.began);
   if (executor.kind >= 0) widest[executor.kind] = std::max(widest[executor.kind], executor.running_width);
 }
 
@@ -985,7 +907,7 @@
   Executor& executor = executors[launch.executor];
   word_from(executor);
   --executor.unstarted;
-  count_running(executor, submission, launch);
+  count_running(executor, submission);
   start_wait_.add(now, kHealthLife, seconds(now - launch.sent));
   starts_.add(now, kHealthLife, 1);
   heard_from(now, executor, now - launch.sent);
@@ -1019,14 +941,12 @@
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
   Executor& executor = executors[launch.executor];
-  if (tells_held(now, executor) && executor.held <= most_held(now, executor)) room_ += 1;
+  if (tells_held(now, executor) && executor.held <= most_held(executor)) room_ += 1;
   executor.used = now;
-  // One that ends without an answer takes its connection with it.
-  if (outcome != Outcome::kSatisfied && outcome != Outcome::kErrored && outcome != Outcome::kTurnedAway)
-    connection_closed(launch.executor);
+  const bool answered =
+      outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway;
+  answered ? word_from(executor) : connection_closed(launch.executor);  // it takes its connection with it
   take_load(executor, load);
-  if (outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway)
-    word_from(executor);
   switch (outcome) {
     case Outcome::kSatisfied: {
       executor.good.add(now, kHealthLife, 1);
@@ -1044,8 +964,7 @@
       executor.work += kSpeedWeight * (launch.cost - executor.work);
       executor.latency += kSpeedWeight * (took - executor.latency);
       count_speed(executor, 1);
-      double& weight = work_weight_[submission.use_case];
-      weight += 1;
+      const double weight = ++work_weight_[submission.use_case];
       work_[submission.use_case] += std::max(kCostWeight, 1 / weight) * (work - work_[submission.use_case]);
       break;
     }
@@ -1055,8 +974,8 @@
     case Outcome::kErrored:
       executor.bad.add(now, kHealthLife, kErrorWeight);
       break;
-    // A process that dies takes all its connections along. One that breaks while others stay tells of the way
-    // there: on a day of resets nearly all executors were in doubt.
+    // A process that dies takes all its connections along; one that breaks while others stay tells of the
+    // way.
     case Outcome::kBroken:
       executor.bad.add(now, kHealthLife, executor.connections > 0 ? kLittleWeight : kErrorWeight);
       break;
@@ -1073,18 +992,16 @@
     submission.open = false;
     let_go(index);
   }
-  if (submission.open) {
-    if (now >= submission.due - settings_.quantum) {
-      end(now, index, true);
-    } else if (!pending(submission)) {
-      // What may go again waits for room, also where it may no longer be pushed back.
-      const bool spent = static_cast<int>(submission.launches.size()) >= settings_.most_launches ||
-                         (settings_.use_cases[submission.use_case].effect == Effect::kSingleUse &&
-                          !may_push_back(submission));
-      spent ? end(now, index, true) : place(now, index);
-    }
-  } else {
+  if (!submission.open) {
     cancel_pending(index);
+  } else if (now >= submission.due - settings_.quantum) {
+    end(now, index, true);
+  } else if (!pending(submission)) {
+    // What may go again waits for room, also where it may no longer be pushed back.
+    const bool spent =
+        static_cast<int>(submission.launches.size()) >= settings_.most_launches ||
+        (settings_.use_cases[submission.use_case].effect == Effect::kSingleUse && !may_push_back(submission));
+    spent ? end(now, index, true) : place(now, index);
   }
   serve_held(now);
 }
@@ -1163,7 +1080,7 @@
   if (launch.began < 0)
     ++executor.unstarted;
   else
-    count_running(executor, submission, launch);
+    count_running(executor, submission);
   wake(now, index);
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <random>
 #include <utility>
 #include <vector>
@@ -94,7 +95,6 @@
 };
 
 struct Executor : Learned {
-  bool known = false;
   std::uint64_t listed = 0;  // the last list that named it
   Standing standing = Standing::kGone;
   int zone = 0, kind = 0, cell = 0;
@@ -107,7 +107,6 @@
   Time used = 0;                // when one was last
   int open = 0, unstarted = 0;  // own launches unfinished, and of these not known to have begun
   double open_cost = 0, running_width = 0;
-  double running_cost = 0, running_since = 0;  // of those begun: cost, and the sum of when, in seconds
   Time lot_at = -kNever;
   double lot = 1;  // drawn for this span: whether one launch may go while it is cold
 };
@@ -188,7 +187,6 @@
 
   // The parts of a decision, open to tests and to whoever wants to look.
   double speed(const Executor& executor) const;
-  double speed_now(Time now, const Executor& executor) const;
   void count_speed(const Executor& executor, int sign);  // into the mean, or out of it
   Time delay(const Executor& executor) const;
   double opening(Time now, const Submission& submission);
@@ -221,7 +219,7 @@
   void end(Time now, int submission, bool push_back);
   void let_go(int submission);
   void close_launch(Time now, Submission& submission, Launch& launch);
-  void count_running(Executor& executor, const Submission& submission, const Launch& launch);
+  void count_running(Executor& executor, const Submission& submission);
   void follow_list(Time now);
   void ask_again(Time now, Time pause, double spread);
   Time asking_span() const;
@@ -240,12 +238,9 @@
   double mean_leeway(const Submission& submission) const;
   static bool pending(const Submission& submission);
   Time progress_patience() const;
-  Time start_patience(Time now);
-  Time taken_patience(Time now);
   Time wait_life() const;
   void saw_wait(Time now, Launch& launch);
   void seek_elsewhere(Time now, int submission, bool silent);
-  bool tried(const Submission& submission, int executor) const;
   double mean_speed() const;
   bool connected(Time now, const Executor& executor) const;
   bool wins_cold_start(Time now, Executor& executor, double work, double budget);
@@ -259,7 +254,7 @@
   void share_room(Time now);
   bool room_left(Time now) const;
   bool tells_held(Time now, const Executor& executor) const;
-  double most_held(Time now, const Executor& executor) const;
+  double most_held(const Executor& executor) const;
   double width(const Executor& executor) const;
   void count_key(Time now, std::uint64_t key, double work);
   std::size_t rank_by_key(Time now, const Submission& submission);
@@ -295,9 +290,9 @@
   std::vector<int> newcomers_;                 // those that were cold when they were listed, and may be still
   std::vector<int> near_, ready_;              // scratch of pick
   std::vector<std::pair<double, int>> ranks_;  // scratch of pick
-  std::vector<std::pair<std::uint64_t, DecayingSum>> keys_;  // work asked of late for each key
-  Time latest_ = 0;                                          // scratch of pick: the last start that is of use
-  std::vector<double> chances_, delays_;                     // scratch of pick
+  std::map<std::uint64_t, DecayingSum> keys_;  // work asked of late for each key
+  Time latest_ = 0;                            // scratch of pick: the last start that is of use
+  std::vector<double> chances_, delays_;       // scratch of pick
 };
 
 }  // namespace canvasstage
