--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -70,6 +70,12 @@
     std::string text = kWhole;
     return text.replace(text.find(from), from.size(), to);
   };
+  for (const std::string source : {"5", "[\"live\"]", "true"})
+    EXPECT_NE(wrong_with(with("\"settings\":{", "\"settings\":{\"weightSource\":" + source + ","))
+                  .find("weightSource"),
+              std::string::npos);
+  EXPECT_EQ(wrong_with(with("\"settings\":{", "\"settings\":{\"weightSource\":\"of a later platform\",")),
+            "");
   EXPECT_NE(wrong_with(with("\"hardLimit\":5", "\"hardLimit\":1e400")), "");
   EXPECT_NE(wrong_with(with("\"hardLimit\":5", "\"hardLimit\":NaN")), "");
   EXPECT_NE(wrong_with(with("\"hardLimit\":5", "\"hardLimit\":-5")).find("hardLimit"), std::string::npos);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -529,6 +529,47 @@
   EXPECT_TRUE(holds(other.read_message(), "X-Correlation-Id: id2\r\n"));
 }
 
+// Single-use jobs out, one held: to a list that is pushed and tells the load, without start notes, and back.
+TEST(Program, AReloadToTheOtherShapeAndBackLosesNothingAndSendsNothingTwice) {
+  Running run;
+  Peer watch = only_first(run);
+  const std::string plain = run.config(256, "127.0.0.1:0", "7", run.discovery.address);
+  std::string other = plain;
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+           {R"("membershipMode":"ask")", R"("membershipMode":"push","weightSource":"live")"},
+           {R"("tellsStart":true,"progress":2)", R"("tellsStart":false)"}})
+    other.replace(other.find(from), from.size(), to);
+  std::vector<Peer> clients, executors;
+  const auto serve = [&](const std::string& id) {
+    executors.push_back(run.first.accept());
+    EXPECT_TRUE(holds(executors.back().read_message(), "X-Correlation-Id: " + id + "\r\n"));
+    executors.back().begin_lines();
+  };
+  const auto hand_in = [&](const std::string& id) {
+    clients.push_back(run.client());
+    clients.back().write(Running::job("charge", id));
+  };
+  hand_in("id1");
+  serve("id1");
+  hand_in("id2");  // held: the one before has not begun
+  run.reload(other);
+  EXPECT_TRUE(run.wait_for_log("reload: discovery is "));
+  serve("id2");
+  hand_in("id3");
+  serve("id3");
+  run.reload(plain);
+  EXPECT_TRUE(run.wait_for_log("reload: discovery is "));
+  for (std::size_t i = 0; i < 3; ++i) {
+    executors[i].write_line(R"({"state":"started"})");
+    executors[i].write_line(R"({"state":"done","result":"done"})");
+    executors[i].end_lines();
+    const std::string answer = clients[i].read_message();
+    EXPECT_TRUE(starts(answer, "HTTP/1.1 200 ") && holds(answer, "done")) << answer;
+  }
+  EXPECT_TRUE(run.first.nobody_waits());
+  for (Peer& executor : executors) EXPECT_TRUE(executor.silent_for(std::chrono::milliseconds(20)));
+}
+
 TEST(Program, ABadFileAtAReloadIsNamedAndChangesNothing) {
   Running run;
   Peer watch = only_first(run);
