--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -131,10 +131,6 @@
   room_ = asked <= kCrowded * room ? kPlenty : std::floor(room + uniform(random_));
 }
 
-bool Policy::room_left(Time now) const {
-  return room_ >= 1 || now - shared_at_ >= kFresh;
-}
-
 bool Policy::cold(Time now, const Executor& executor) const {
   return executor.started > 0 && now - executor.started < settings_.warm_up + settings_.fall_span;
 }
@@ -200,6 +196,8 @@
 
 void Policy::tick(Time now) {
   follow_list(now);
+  if (now - shared_at_ >= kFresh)
+    room_ = std::max(room_, 1.0);  // no weights come; what ends gives its place back
   serve_held(now);
   host_.wake_at(now + kTick, kTickToken);
 }
@@ -427,7 +425,7 @@
 
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
-  if (!room_left(now)) return -1;
+  if (room_ < 1) return -1;
   latest_ = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
   draw_zones(now);
   const std::size_t at_home = find_homes(now, submission);
@@ -733,7 +731,7 @@
   if (now >= held_look_)
     for (const int index : std::vector<int>(held_))
       if (now >= keep_until(now, submissions[index])) end(now, index, true);
-  if (!room_left(now) || std::none_of(executors.begin(), executors.end(), [&](Executor& e) {
+  if (room_ < 1 || std::none_of(executors.begin(), executors.end(), [&](Executor& e) {
         return e.standing == Standing::kReady && has_room(e) &&
                (!tells_held(now, e) || from_seconds(wait_at(now, e)) <= leeway_);
       }))
@@ -941,7 +939,7 @@
   launch.may_have_run =
       outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
   Executor& executor = executors[launch.executor];
-  if (tells_held(now, executor) && executor.held <= most_held(executor)) room_ += 1;
+  if (!tells_held(now, executor) || executor.held <= most_held(executor)) room_ += 1;
   executor.used = now;
   const bool answered =
       outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway;
--- a/src/policy.h
+++ b/src/policy.h
@@ -252,7 +252,6 @@
   bool ready(Time now, const Submission& submission, int executor, bool ask_health);
   Time shortest_leeway() const;
   void share_room(Time now);
-  bool room_left(Time now) const;
   bool tells_held(Time now, const Executor& executor) const;
   double most_held(const Executor& executor) const;
   double width(const Executor& executor) const;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -837,6 +837,30 @@
   EXPECT_EQ(node.host.launches.size(), 1u);
 }
 
+// The weights stopped as the fleet was full, and every node opened its gates (incident i11c82d).
+TEST(LiveWeights, WhereTheyStopInACrowdWhatEndsGivesItsPlaceToTheNext) {
+  Settings settings = live_settings();
+  settings.replicas = 10;
+  Recorder host;
+  Policy policy(settings, host, 1, kNow);
+  for (const double weight : {4.0, 0.1, 3.0}) {
+    policy.executor_listed(kNow, 0, 0, 0, 0, Standing::kReady, 0, weight, 7);
+    policy.widest[0] = 4;
+    policy.roster_arrived(kNow, RosterForm::kChanges);
+    if (weight < 1)
+      for (int i = 0; i < 40; ++i) policy.submission_arrived(kNow, i, 0, kNow + 60 * kSecond, 0.1, 1);
+  }
+  const std::size_t out = host.launches.size();
+  ASSERT_GT(out, 0u);
+  const Time later = kNow + 6 * kSecond;
+  policy.submission_arrived(later, 40, 0, later + 60 * kSecond, 0.1, 1);
+  EXPECT_EQ(host.launches.size(), out);
+  policy.launch_ended(later, host.launches[0].submission, 0, Outcome::kSatisfied, kSecond, true, nullptr);
+  EXPECT_EQ(host.launches.size(), out + 1);
+  policy.timer_due(later, 0);  // with none of its own out a node would never start again
+  EXPECT_EQ(host.launches.size(), out + 2);
+}
+
 TEST(Keys, AllNodesSendAKeyToTheSameExecutorWhateverTheirOrder) {
   Live node(8);
   Recorder host;
