Reread: keys are counted only where they are looked at; a test that a pushed list is watched

After a reload to live weights popularity is learned from there on. kPlenty stands once, in the class. The wake after a launch says how its length was chosen.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -26,7 +26,6 @@
 constexpr std::uint64_t kTickToken = 0;  // the wake-up of the node's own housekeeping
 constexpr Time kTick = kSecond / 4;      // often enough to ask for the list again in time
 constexpr int kIndexBits = 24;
-constexpr double kPlenty = 1e9;         // of room
 constexpr double kGiveWayChance = 0.8;  // less is not worth a place in a crowd; 0.7 to 0.85 fare alike
 
 }  // namespace
@@ -621,7 +620,7 @@
                 [&](const auto& sent) { return now - sent.first > settings_.fall_span; });
   if (cold(now, executor)) executor.cold_sends.emplace_back(now, launch.cost * submission.width);
   host_.launch(index, to, submission.due);
-  wake(now + kSecond / 10, index);
+  wake(now + kSecond / 10, index);  // sooner than any patience; 25 and 300 ms fare alike
 }
 
 void Policy::close_launch(Time now, Submission& submission, Launch& launch) {
@@ -797,7 +796,7 @@
   asked_work_.add(now, kHealthLife, cost(submission) * submission.width);
   mean_work_ = asked_work_.value / arrivals_.value;
   leeway_ = shortest_leeway();
-  if (key != 0) count_key(now, key, cost(submission));
+  if (key != 0 && settings_.live_weights) count_key(now, key, cost(submission));
   wake(submission.due - 2 * settings_.quantum, index);
   place(now, index);
 }
--- a/src/policy.h
+++ b/src/policy.h
@@ -276,7 +276,8 @@
   Time leeway_ = kNever;                    // how long the most urgent use case may wait
   bool weighed_ = false;                    // a weight has changed since the room was shared
   Time shared_at_ = -kNever;
-  double room_ = 1e9;       // launches that this node may send until the next weights
+  static constexpr double kPlenty = 1e9;
+  double room_ = kPlenty;   // launches that this node may send until the next weights
   DecayingSum keyed_work_;  // asked of late with a key
   double speed_sum_ = 0;    // of the ready executors whose speed is known
   int speed_count_ = 0;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -51,6 +51,15 @@
 }
 
 // However long the pause after failures had grown.
+// Under a pushed list a node on sockets opened no watch at all, and knew what it remembered for good.
+TEST(Core, APushedListComesOverAWatchToo) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = false;
+  Core core(1, 1024, settings);
+  core.run_until(kNow + kSecond / 4);
+  EXPECT_EQ(core.effects.watches, std::vector<std::string>{"discovery:1"});
+}
+
 TEST(Core, DiscoveryThatMovedIsAskedAtOnce) {
   Settings settings = small_settings();
   settings.ask_for_roster = true;
