--- a/lab/emulator/dispatchers.cpp
+++ b/lab/emulator/dispatchers.cpp
@@ -103,14 +103,15 @@
   void answer(Id client, Answer answer, const ParcelRef&, Time, bool) override {
     emulator_.answer(index_, client, answer);
   }
-  void close_client(Id) override {}
+  void close_client(Id, bool) override {}
   void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission, Time) override {
     emulator_.launch(index_, launch, over, std::stoi(address),
                      static_cast<const JobParcel&>(*submission).job);
   }
   void give_up(Id launch) override { emulator_.give_up(index_, launch); }
+  void withdraw(Id) override {}  // each launch has gone at once
   bool still_open(Id launch) override { return emulator_.still_open(index_, launch); }
-  void watch_roster(const std::string&, std::uint64_t) override { emulator_.watch(index_); }
+  void watch_roster(const std::string&, std::uint64_t, Time) override { emulator_.watch(index_); }
   void wake_at(Time when, std::uint64_t token) override {
     if (when >= kNever) return;
     emulator_.events().at((when - start_) * kMicrosAUnit, [this, token] { node_->timer_due(now(), token); });
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -47,16 +47,20 @@
   virtual ~Effects() = default;
   // The final answer of the submission that the client has open; `last`: the connection ends with it.
   virtual void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) = 0;
-  virtual void close_client(Id client) = 0;
+  // One that is idle. `finishes`: what it has half written may still come, for a short while.
+  virtual void close_client(Id client, bool finishes) = 0;
   // Over the connection that the launch `over` used and left free; 0: over a new one. An `over` is used up.
   virtual void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
                       Time give_up_at) = 0;
   // Gives up a launch, or closes the free connection that it left.
   virtual void give_up(Id launch) = 0;
+  // Gives up a launch of which no byte has gone to its executor.
+  virtual void withdraw(Id launch) = 0;
   // Whether the free connection that the launch left is still open at its other end; does not wait.
   virtual bool still_open(Id launch) = 0;
-  // The watch before it, if any, tells nothing from then on.
-  virtual void watch_roster(const std::string& address, std::uint64_t from_version) = 0;
+  // Ends the watch before it, if any; what that has read already still counts. `within`: a call that has told
+  // nothing by then is silent.
+  virtual void watch_roster(const std::string& address, std::uint64_t from_version, Time within) = 0;
   virtual void wake_at(Time when, std::uint64_t token) = 0;
   virtual void open_listener() = 0;
   virtual void close_listener() = 0;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -60,7 +60,7 @@
 Settings Node::on_sockets(Settings settings, Time idle) {
   settings.connection_idle = idle;
   settings.tells_taken = true;
-  if (!settings.ask_for_roster) settings.ask_within = kSecond;
+  if (!settings.ask_for_roster) settings.ask_within = kSecond / 5;
   settings.ask_for_roster = true;
   return settings;
 }
@@ -103,6 +103,7 @@
     entries_[submission].ended = true;
     ++figures_.left;
     policy_.client_left(now, submission);
+    withdraw_launches(submission);
     release_if_over(submission);
   }
   finish_if_done();
@@ -167,10 +168,18 @@
   Client& client = clients_.at(entry.client);
   client.submission = -1;
   client.idle_since = now_;
-  effects_.answer(entry.client, answer, result, stay_away, parting_);
+  effects_.answer(entry.client, answer, result, stay_away, parting_ || answer == Answer::kRejected);
+  withdraw_launches(submission);
   release_if_over(submission);  // one that waited for room has no launch whose end would do it
 }
 
+// It has its end: what has not gone to its executor by now is not to go, also where nothing may be cancelled.
+void Node::withdraw_launches(int submission) {
+  if (entries_[submission].pending == 0) return;
+  for (const Id launch : entries_[submission].launches)
+    if (running_.contains(launch)) effects_.withdraw(launch);
+}
+
 void Node::release_if_over(int submission) {
   Entry& entry = entries_[submission];
   if (!entry.ended || entry.pending > 0 || entry.client == 0) return;
@@ -202,13 +211,13 @@
 bool Node::close_longest_idle_client() {
   auto longest = clients_.end();
   for (auto client = clients_.begin(); client != clients_.end(); ++client)
-    if (client->second.submission < 0 && client->second.idle_since < now_ &&
+    if (client->second.submission < 0 && !client->second.closing && client->second.idle_since < now_ &&
         (longest == clients_.end() || std::pair(client->second.served, client->second.idle_since) <
                                           std::pair(longest->second.served, longest->second.idle_since)))
       longest = client;
   if (longest == clients_.end()) return false;
-  longest->second.idle_since = now_;  // it is on its way out; the next one is another
-  effects_.close_client(longest->first);
+  longest->second.closing = true;
+  effects_.close_client(longest->first, parting_);
   return true;
 }
 
@@ -327,12 +336,14 @@
   } else if (!running.unsent) {
     --links_;
     // The module takes it that one that was answered leaves its connection.
-    if (outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway)
+    if (outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway ||
+        outcome == Outcome::kRejected)
       policy_.connection_closed(running.executor);
   }
   Entry& entry = entries_[running.submission];
   --entry.pending;
   if (outcome == Outcome::kSatisfied) answer(running.submission, Answer::kSatisfied, result, 0);
+  if (outcome == Outcome::kRejected) answer(running.submission, Answer::kRejected, nullptr, 0);
   const Time sent = policy_.submissions[running.submission].launches[running.number].sent;
   policy_.launch_ended(now, running.submission, running.number, outcome, now - sent, entry.ended, load);
   release_if_over(running.submission);
@@ -361,6 +372,8 @@
 
 void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
   now_ = now;
+  asked_ = -kNever;
+  silences_ = 0;
   roster_version_ = version;
   have_roster_ = true;
   policy_.roster_arrived(now, form);
@@ -369,11 +382,14 @@
 
 void Node::roster_refused(Time now) {
   now_ = now;
+  asked_ = -kNever;
   policy_.roster_refused(now);
 }
 
 void Node::roster_silent(Time now) {
   now_ = now;
+  asked_ = -kNever;
+  ++silences_;
   policy_.roster_silent(now);
 }
 
@@ -382,6 +398,7 @@
   now_ = now;
   if (discovery_ == address) return;
   discovery_ = std::move(address);
+  asked_ = -kNever;
   policy_.roster_moved(now);
 }
 
@@ -396,8 +413,18 @@
   policy_.settings_changed(now, on_sockets(std::move(settings), link_idle_));
 }
 
+// One call at a time, as each ends by itself: a further one would give up one that is about to be served, for
+// a place at the end of the same queue. A service that needs longer than the module's pause was never heard.
+// What a silent watch misses counts as told 6 s after it fell silent, and 4 s are gone when the next call is
+// made. If that is silent too another one still comes in time.
 void Node::subscribe() {
-  effects_.watch_roster(discovery_, roster_version_);
+  constexpr Time kMostCall = kSecond * 11 / 2;  // discovery itself ends one that has waited too long
+  constexpr Time kSoon = kSecond * 11 / 10;  // of 300 nodes that called together all were answered in 0.3 s
+  constexpr int kMostSoon = 3;
+  if (now_ - asked_ < kMostCall + kSecond) return;
+  asked_ = now_;
+  const bool soon = silences_ > 0 && silences_ <= kMostSoon;
+  effects_.watch_roster(discovery_, roster_version_, soon ? kSoon : kMostCall);
 }
 
 // --- Time ---
@@ -448,6 +475,10 @@
       link = now - link->since >= link_idle_ || !effects_.still_open(link->launch)
                  ? close_free_link(static_cast<int>(i), link)
                  : std::next(link);
+  // Those that were busy, or idle since that very moment, when the others were closed. From the last hard
+  // limit on also while the listener still finds no quiet: nobody is to hand in what the end would find
+  // unanswered.
+  if (closing_idle_ && (listener_closed_ || now >= stop_by_)) close_idle_clients();
   if (platform_.console > 0) publish(now);
   effects_.wake_at(now + kTick, kTickToken);
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -87,6 +87,7 @@
   void stop(Time now);
 
   const Terms& terms() const { return terms_; }
+  std::uint64_t roster_version() const { return roster_version_; }
   const Policy& policy() const { return policy_; }
   int descriptors_used() const { return static_cast<int>(clients_.size()) + links_; }
 
@@ -113,6 +114,7 @@
     int submission = -1;
     Time idle_since = 0;
     bool served = false;   // has handed in a whole submission
+    bool closing = false;  // told to close, and gone soon
     bool refused = false;  // one too many: what it hands in is pushed back unseen
   };
   static constexpr std::uint64_t kLaunchToken = std::uint64_t{1} << 63;  // a timer of a launch
@@ -137,6 +139,7 @@
   void hand_over_free_links(int executor);
   void answer(int submission, Answer answer, const ParcelRef& result, Time stay_away);
   void release_if_over(int submission);
+  void withdraw_launches(int submission);
   void close_free_links(int executor);
   std::deque<FreeLink>::iterator close_free_link(int executor, std::deque<FreeLink>::iterator link);
   bool close_longest_free_link();
@@ -169,7 +172,9 @@
   std::vector<Entry> entries_;
   std::unordered_set<std::string> ids_;  // of the entries in use
   std::vector<int> unused_;
-  int links_ = 0;  // executor connections, busy or free
+  int links_ = 0;         // executor connections, busy or free
+  Time asked_ = -kNever;  // discovery, in the call that has told nothing yet
+  int silences_ = 0;      // calls and watches that fell silent in a row
   Id last_launch_ = 0;
   std::string discovery_;
   std::uint64_t roster_version_;
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <initializer_list>
 
 namespace canvasstage {
 namespace {
@@ -21,6 +22,20 @@
   for (const JsonValue& name : list.GetArray()) names.emplace_back(text(name, key));
 }
 
+// A limit that is absent is the one given; below 0 there is none that could be kept.
+double limit(const JsonValue& object, const char* key, double otherwise) {
+  const double value = setting(object, key, otherwise);
+  if (value < 0) bad(std::string(key) + ": must not be negative");
+  return value;
+}
+
+// One of the words, by its place among them.
+int one_of(std::string_view word, const char* key, std::initializer_list<std::string_view> words) {
+  const auto found = std::ranges::find(words, word);
+  if (found == words.end()) bad(std::string(key) + ": not known: " + std::string(word));
+  return static_cast<int>(found - words.begin());
+}
+
 double positive(const JsonValue& object, const char* key) {
   const double value = number(needed(object, key), key);
   if (!(value > 0)) bad(std::string(key) + ": a positive number is needed");
@@ -48,22 +63,16 @@
   u.hard_limit = to_time(positive(from, "hardLimit"));
   u.stretch = setting(from, "aimStretch", 0);
   if (stretch.IsArray() && i < stretch.Size()) u.stretch += number(stretch[i], "domain.classStretch");
-  if (kind.IsArray() && i < kind.Size())
-    u.machine_kind = static_cast<int>(number(kind[i], "domain.classKind"));
+  if (kind.IsArray() && i < kind.Size()) u.machine_kind = integer(kind[i], "domain.classKind");
   u.billing_value = setting(from, "billingValue", 1);
   u.overdue_value = setting(from, "overdueBillingValue", 0);
-  const std::string_view effect = text(needed(from, "semantics"), "semantics");
-  u.effect = effect == "free"      ? Effect::kReplayable
-             : effect == "guarded" ? Effect::kReferenced
-                                   : Effect::kSingleUse;
-  const JsonValue& group = member(from, "group");
-  if (group.IsString()) {
-    const std::string_view name = text(group, "group");
-    u.group = name == "all" ? Group::kAll : name == "zone" ? Group::kZone : Group::kCell;
-  } else if (u.effect == Effect::kReferenced) {
-    bad("group is missing");
-  }
-  u.window = to_time(setting(from, "window", 0));
+  constexpr Effect kEffects[] = {Effect::kReplayable, Effect::kReferenced, Effect::kSingleUse};
+  u.effect = kEffects[one_of(text(needed(from, "semantics"), "semantics"), "semantics",
+                             {"free", "guarded", "single_shot"})];
+  constexpr Group kGroups[] = {Group::kAll, Group::kZone, Group::kCell};
+  if (u.effect == Effect::kReferenced)
+    u.group = kGroups[one_of(text(needed(from, "group"), "group"), "group", {"all", "zone", "cell"})];
+  u.window = to_time(limit(from, "window", 0));
   return u;
 }
 
@@ -82,6 +91,12 @@
   return value.IsNull() ? otherwise : number(value, field);
 }
 
+int integer(const JsonValue& value, const char* field) {
+  const double given = number(value, field);
+  if (!(std::abs(given) <= 1e9)) bad(std::string(field) + ": out of range");
+  return static_cast<int>(given);
+}
+
 std::uint64_t whole(const JsonValue& value, const char* field) {
   if (!value.IsUint64()) bad(std::string(field) + ": a whole number is needed");
   return value.GetUint64();
@@ -137,29 +152,31 @@
   }
   const JsonValue& locality = member(settings, "locality");
   if (locality.IsString()) s.zone = index_of(terms.zones, text(locality, "locality"));
-  s.replicas = static_cast<int>(number(needed(settings, "replicasOfMe"), "replicasOfMe"));
-  s.quantum = to_time(setting(settings, "quantum", 0.001));
+  s.replicas = integer(needed(settings, "replicasOfMe"), "replicasOfMe");
+  if (s.replicas < 1) bad("replicasOfMe: at least 1 is needed");
+  s.quantum = to_time(limit(settings, "quantum", 0.001));
   const JsonValue& mode = member(settings, "membershipMode");
-  s.ask_for_roster = mode.IsString() && text(mode, "membershipMode") == "ask";
+  s.ask_for_roster =
+      mode.IsString() && one_of(text(mode, "membershipMode"), "membershipMode", {"push", "ask"}) == 1;
   const JsonValue& caps = needed(settings, "caps");
   s.most_launches = static_cast<int>(std::min(positive(caps, "mostLaunches"), 1e6));
   if (s.most_launches < 1) bad("mostLaunches: at least 1 is needed");
-  s.connection_idle = to_time(setting(caps, "connIdle", 0));
-  terms.connect_within = to_time(setting(caps, "connectTimeout", 1));
+  s.connection_idle = to_time(limit(caps, "connIdle", 0));
+  terms.connect_within = to_time(limit(caps, "connectTimeout", 1));
   s.connection_price = setting(member(settings, "prices"), "handshake", 0);
   s.cancelling = flag(caps, "cancelling");
-  if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(setting(caps, "maxRetryAfter", 0));
+  if (flag(caps, "retryAfter")) s.longest_stay_away = to_time(limit(caps, "maxRetryAfter", 0));
   s.tells_start = flag(domain, "tellsStart");
   const JsonValue& weights = member(settings, "weightSource");
   s.live_weights = !weights.IsNull() && text(weights, "weightSource") == "live";
-  s.progress_every = to_time(setting(domain, "progress", 0));
+  s.progress_every = to_time(limit(domain, "progress", 0));
   const JsonValue& rules = needed(settings, "guarantees");
-  s.ask_within = to_time(setting(rules, "askWithin", 1e9));
-  terms.drain_grace = to_time(setting(rules, "drainGrace", 1));
-  s.cold_from = setting(rules, "coldFrom", 1);
-  s.warm_up = to_time(setting(rules, "warmUp", 0));
-  s.fall_multiple = setting(rules, "fallMultiple", 1);
-  s.fall_span = to_time(setting(rules, "overloadFor", 1));
+  s.ask_within = to_time(limit(rules, "askWithin", 1e9));
+  terms.drain_grace = to_time(limit(rules, "drainGrace", 1));
+  s.cold_from = limit(rules, "coldFrom", 1);
+  s.warm_up = to_time(limit(rules, "warmUp", 0));
+  s.fall_multiple = limit(rules, "fallMultiple", 1);
+  s.fall_span = to_time(limit(rules, "overloadFor", 1));
   return s;
 }
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -25,6 +25,7 @@
 [[noreturn]] void bad(const std::string& what);
 double number(const JsonValue& value, const char* field);
 double number_or(const JsonValue& value, double otherwise, const char* field);
+int integer(const JsonValue& value, const char* field);  // cut to one
 std::uint64_t whole(const JsonValue& value, const char* field);
 std::string_view text(const JsonValue& value, const char* field);
 // An object's member, or null where it is absent.
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -4,6 +4,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 #include <utility>
 
 #include "http/writer.h"
@@ -100,7 +101,7 @@
                               Writers& writers) {
   {
     const std::lock_guard lock(mutex_);
-    last = last || !keep_alive_;
+    last = last || !keep_alive_ || reading_shut_;
   }
   const std::string_view body = result ? static_cast<const Result&>(*result).text : std::string_view();
   std::string head;
@@ -136,12 +137,18 @@
 }
 
 // What has already come is still read and answered.
-void ClientConnection::close_when_idle() {
+void ClientConnection::close_when_idle(bool finishes) {
   const std::lock_guard lock(mutex_);
   reading_shut_ = true;
+  may_finish_ = finishes;
   socket_.shut(SHUT_RD);
 }
 
+bool ClientConnection::may_finish() {
+  const std::lock_guard lock(mutex_);
+  return may_finish_;
+}
+
 void ClientConnection::shut() {
   socket_.shut(SHUT_RDWR);
 }
@@ -227,10 +234,16 @@
   const std::size_t carried = carry_.size();
   std::memcpy(submission->buffer.data(), carry_.data(), carried);
   carry_.clear();
-  return read_submission(submission, carried, reason) && hand_in(std::move(submission), reason);
+  // A reload while it is being written changes nothing for it: its client wrote it under these.
+  const std::shared_ptr<const Terms> terms = world_.terms.read();
+  return read_submission(submission, carried, reason) && hand_in(std::move(submission), *terms, reason);
 }
 
 bool ClientConnection::read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason) {
+  // Where the node is to stop as the submission is half written the rest has this long to come. Our own end
+  // of reading lets through what comes, but no read waits for it.
+  constexpr Time kMostRest = kSecond * 3 / 10;
+  constexpr timespec kPause{0, 5000000};
   for (;;) {
     wait_until(until);
     const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
@@ -238,7 +251,12 @@
       size += static_cast<std::size_t>(n);
       return true;
     }
-    const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (n == 0 && may_finish() && !socket_.left()) {
+      until = std::min(until, now() + kMostRest);
+      ::nanosleep(&kPause, nullptr);
+      waiting = true;
+    }
     if (waiting && now() < until) continue;
     reason = waiting ? Reason::kSilent : n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
     return false;
@@ -281,7 +299,7 @@
   return true;
 }
 
-bool ClientConnection::hand_in(std::shared_ptr<Submitted> submission, Reason& reason) {
+bool ClientConnection::hand_in(std::shared_ptr<Submitted> submission, const Terms& terms, Reason& reason) {
   const Time came = now();
   const http::Head& head = submission->head;
   const std::string_view path = head.target.substr(0, head.target.find('?'));
@@ -302,13 +320,12 @@
   }
   if (head.method != "POST") return reject(405, Reason::kBadMessage, reason);
   const std::string_view first = path.substr(1, std::min(path.find('/', 1), path.size()) - 1);
-  const std::shared_ptr<const Terms> terms = world_.terms.read();
-  const int use_case = terms->use_case_named(first);
+  const int use_case = terms.use_case_named(first);
   if (use_case < 0) return reject(404, Reason::kBadMessage, reason);
   Time left = 0;
   if (head.field("X-Correlation-Id").empty() || !read_time_left(head.field("X-Time-Left"), left))
     return reject(400, Reason::kBadMessage, reason);
-  if (terms->referenced[static_cast<std::size_t>(use_case)] && head.field("Idempotency-Key").empty())
+  if (terms.referenced[static_cast<std::size_t>(use_case)] && head.field("Idempotency-Key").empty())
     return reject(400, Reason::kBadMessage, reason);
   // What the request is about: the last part of the path, where there is one behind the use case.
   const std::size_t last = path.rfind('/');
@@ -326,6 +343,18 @@
   return await_answer(reason);
 }
 
+// Until its answer, its move, or then. False: the client has left, which no read shows behind bytes that it
+// sent ahead, or after our own end of reading. It was launched, and launched again, all that time.
+bool ClientConnection::wait_behind_bytes(std::unique_lock<std::mutex>& lock, Clock::time_point then) {
+  // Such a client is to be seen to have left well within 0.3 s.
+  constexpr Milliseconds kLook{50};
+  while (open_ && !moved_ && Clock::now() < then) {
+    if (socket_.left()) return false;
+    answered_.wait_for(lock, kLook);
+  }
+  return true;
+}
+
 // Stays in a read, so that a client that goes away is seen.
 bool ClientConnection::await_answer(Reason& reason) {
   // How long a handover may take, as a launch may have to connect and to be written first.
@@ -333,16 +362,19 @@
   char byte;
   wait_until(now() + kLookUp);
   for (bool stays = false;;) {
+    bool left = false;
     if (!stays && carry_.empty() && world_.parting.told_before(socket_, by_clock(now() + kLookUp))) {
       std::unique_lock lock(mutex_);
-      stays = !answered_.wait_for(lock, kMostHandover, [this] { return !open_ || moved_; });
+      left = !wait_behind_bytes(lock, Clock::now() + kMostHandover);
+      stays = open_ && !moved_;
     }
     const int flags = stays ? MSG_PEEK : peeking();
-    const long n = carry_.empty() ? socket_.read(&byte, 1, flags) : 1;
+    const long n = left ? 0 : carry_.empty() ? socket_.read(&byte, 1, flags) : 1;
     const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     std::unique_lock lock(mutex_);
     // More bytes, or our own end of reading: the answer comes first.
-    if (n > 0 || (n == 0 && reading_shut_)) answered_.wait(lock, [this] { return !open_ || moved_; });
+    if (!left && (n > 0 || (n == 0 && reading_shut_)))
+      left = !wait_behind_bytes(lock, Clock::time_point::max());
     if (moved_) {
       reason = Reason::kMoved;
       return false;
@@ -352,7 +384,7 @@
       lingers_ = true;
       return false;
     }
-    if (!waiting && n <= 0) {
+    if (left || (!waiting && n <= 0)) {
       reason = open_ ? Reason::kLeftWhileOpen : reading_shut_ ? Reason::kIdle : Reason::kPeerClosed;
       return false;
     }
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -46,7 +46,7 @@
 
   // The reducer's.
   void answer(int status, std::string_view extra, const ParcelRef& result, bool last, Writers& writers);
-  void close_when_idle();
+  void close_when_idle(bool finishes);
   void shut();
   // Its submission goes on elsewhere, and it with it.
   void moved();
@@ -60,10 +60,12 @@
  private:
   bool serve_one(Reason& reason);
   void wait_until(Time then);
+  bool may_finish();
   bool read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason);
   bool read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried, Reason& reason);
-  bool hand_in(std::shared_ptr<Submitted> submission, Reason& reason);
+  bool hand_in(std::shared_ptr<Submitted> submission, const Terms& terms, Reason& reason);
   bool await_answer(Reason& reason);
+  bool wait_behind_bytes(std::unique_lock<std::mutex>& lock, Clock::time_point then);
   bool move_idle(Reason& reason);
   Clock::time_point by_clock(Time then) const;
   int peeking() const;
@@ -83,7 +85,7 @@
   bool keep_alive_ = true;
   std::mutex mutex_;
   std::condition_variable answered_;
-  bool open_ = false, last_ = false, reading_shut_ = false, moved_ = false;
+  bool open_ = false, last_ = false, reading_shut_ = false, may_finish_ = false, moved_ = false;
 };
 
 }  // namespace canvasstage::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "http/writer.h"
@@ -9,11 +11,9 @@
 namespace canvasstage::net {
 namespace {
 
-// Discovery works through its calls in turn, and says so itself when one has waited too long.
-constexpr Milliseconds kMostSilence{4500};
-// Behind the first line an empty one is due every 2 s. Half of that again is silence: what is missed counts
-// as told 6 s after the last byte, and the next call has to be made and answered before.
-constexpr Milliseconds kMostGap{3000};
+// Behind the first line an empty one is due every 2 s. A third of that again is silence: what is missed
+// counts as told 6 s after the last byte, and the next call, or the one after it, has to be answered before.
+constexpr Milliseconds kMostGap{2600};
 constexpr Milliseconds kMostConnecting{1000};
 // The list of a fleet a hundred times larger than any we have seen.
 constexpr std::size_t kMostLine = 8 * 1024 * 1024;
@@ -30,7 +30,7 @@
   text(needed(entry, "hostPort"), "hostPort");
   for (const char* const key : {"zone", "machineType"})
     if (!member(entry, key).IsNull()) text(member(entry, key), key);
-  number_or(member(entry, "cell"), -1, "cell");
+  if (!member(entry, "cell").IsNull()) integer(member(entry, "cell"), "cell");
   number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
 }
 
@@ -43,7 +43,12 @@
 std::uint64_t check_list(const JsonValue& list) {
   const JsonValue& entries = needed(list, "instances");
   if (!entries.IsArray()) bad("instances: a list is needed");
-  for (const JsonValue& entry : entries.GetArray()) check_entry(entry);
+  std::set<std::string_view> names;
+  for (const JsonValue& entry : entries.GetArray()) {
+    check_entry(entry);
+    const std::string_view name = text(entry["instanceId"], "");
+    if (!names.insert(name).second) bad("instanceId: twice " + std::string(name));
+  }
   return whole(needed(list, "generation"), "generation");
 }
 
@@ -116,9 +121,10 @@
     const std::lock_guard lock(mutex_);
     if (given_up_) return Reason::kGivenUp;
     socket_ = new_socket();
-    socket_.limit_reading(kMostGap);
   }
-  if (connect_to(socket_, address_, kMostConnecting) != 0) return Reason::kUnreachable;
+  // Whole lines count: one that trickles tells nothing.
+  Clock::time_point silent_at = Clock::now() + within_;
+  if (connect_to(socket_, address_, std::min(kMostConnecting, within_)) != 0) return Reason::kUnreachable;
   std::string request;
   http::Writer(request)
       .request("GET", "/v1/servers?stream=1&index=" + std::to_string(from_version_))
@@ -128,7 +134,11 @@
   std::string bytes;  // the head, then what has come of a line
   const auto read_more = [&] {
     char part[4096];
-    const long n = socket_.read_until(Clock::now() + (began_ ? kMostGap : kMostSilence), part, sizeof part);
+    const auto left = std::chrono::ceil<Milliseconds>(silent_at - Clock::now());
+    if (left > Milliseconds(0)) socket_.limit_reading(left);
+    // What has come while this node stood still is read all the same.
+    const long n = left > Milliseconds(0) ? socket_.read_until(silent_at, part, sizeof part)
+                                          : socket_.read(part, sizeof part, MSG_DONTWAIT);
     if (n > 0) bytes.append(part, static_cast<std::size_t>(n));
     return n > 0             ? Reason::kPeerClosed
            : n == 0          ? Reason::kRefused
@@ -155,7 +165,7 @@
     for (std::size_t length;
          (length = message_end(std::string_view(bytes).substr(from))) != std::string::npos;) {
       const std::size_t end = from + length;
-      began_ = true;
+      silent_at = Clock::now() + kMostGap;
       if (end - from > 1 && !take_line(std::string_view(bytes).substr(from, end - from)))
         return Reason::kBadMessage;
       from = end + 1;
@@ -175,13 +185,22 @@
     log_note("discovery: a line that is no object");
     return false;
   }
+  // Also where another watch was asked for meanwhile: it was told when it was written, and that one may be
+  // long in answering. It then holds the same entries, and an older list changes nothing.
   world_.reducer.post([self = shared_from_this(), list](Time now) {
-    if (self->given_up_) return;
     try {
+      const std::uint64_t version = check_list(*list), held = self->world_.node->roster_version();
+      if (version < held || (version == held && self->given_up_)) {
+        if (version < held)
+          log_note("discovery: generation: " + std::to_string(version) + " is older than " +
+                   std::to_string(held));
+        return self->given_up_ ? void() : self->world_.node->roster_arrived(now, RosterForm::kChanges, held);
+      }
       take_list(*self->world_.node, now, *list, false);
       log_note("roster taken, version " + std::to_string((*list)["generation"].GetUint64()));
     } catch (const BadInput& input) {
       log_note(std::string("discovery: ") + input.what());
+      if (self->given_up_) return;
       self->give_up();
       self->world_.node->roster_refused(now);
     }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -14,8 +14,8 @@
 
 class Watch : public std::enable_shared_from_this<Watch> {
  public:
-  Watch(World& world, std::string address, std::uint64_t from_version)
-      : world_(world), address_(std::move(address)), from_version_(from_version) {}
+  Watch(World& world, std::string address, std::uint64_t from_version, Milliseconds within)
+      : world_(world), address_(std::move(address)), from_version_(from_version), within_(within) {}
   void run();      // the thread's
   void give_up();  // from then on it tells nothing
 
@@ -26,10 +26,10 @@
   World& world_;
   const std::string address_;
   const std::uint64_t from_version_;
+  const Milliseconds within_;  // the first line is to have come
   std::mutex mutex_;
   Socket socket_;
   std::atomic<bool> given_up_{false};
-  bool began_ = false;  // a first line has come; the thread's own
 };
 
 // Where the first message in `bytes` ends: at a line's end that stands in no object or list, as lists may
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -39,9 +39,12 @@
 
 // --- The reducer's side ---
 
-void ExecutorConnection::launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at) {
+void ExecutorConnection::launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at,
+                                Time write_by) {
   const std::lock_guard lock(mutex_);
-  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), give_up_at};
+  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), give_up_at,
+               write_by};
+  writing_ = false;
   changed_.notify_one();
 }
 
@@ -49,7 +52,8 @@
                                std::shared_ptr<const Reading> reading) {
   const std::lock_guard lock(mutex_);
   socket_ = std::move(reading->socket);
-  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), 0, reading};
+  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), 0, 0, reading};
+  writing_ = true;
   changed_.notify_one();
 }
 
@@ -77,11 +81,21 @@
   changed_.notify_one();
 }
 
+void ExecutorConnection::withdraw() {
+  const std::lock_guard lock(mutex_);
+  if (writing_) return;
+  given_up_ = true;
+  socket_.shut(SHUT_RDWR);
+  changed_.notify_one();
+}
+
+// Bytes on one that stands free were asked for by nobody: whoever used it next would take them for its
+// answer.
 bool ExecutorConnection::still_open() {
   char byte;
   const std::lock_guard lock(mutex_);
   const long n = socket_.open() ? socket_.read(&byte, 1, MSG_PEEK | MSG_DONTWAIT) : 0;
-  return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  return (n > 0 && !idle_) || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
 // --- The thread's side ---
@@ -144,7 +158,8 @@
     socket_ = new_socket();
   }
   if (connect_to(socket_, work_.address, connect_within_) != 0) {
-    ending.outcome = Outcome::kUnreachable;
+    // One that was given up as it connected says nothing of the executor.
+    ending.outcome = was_given_up() ? Outcome::kUnsent : Outcome::kUnreachable;
     ending.reason = Reason::kUnreachable;
     return false;
   }
@@ -152,7 +167,8 @@
   return true;
 }
 
-// One that was given up while it waited is stopped here, before its first byte.
+// One that was given up while it waited is stopped here, before its first byte; and one that waited so long
+// that a drain told since it was decided might forbid it.
 bool ExecutorConnection::write(Ending& ending) {
   const http::Head& head = work_.submission->head;
   std::string out;
@@ -166,16 +182,17 @@
       .end();
   {
     const std::lock_guard lock(mutex_);
-    if (given_up_) {
+    if (given_up_ || now() > work_.write_by) {
       ending.outcome = Outcome::kUnsent;
       return false;
     }
+    writing_ = true;
   }
   if (socket_.write(out, work_.submission->body)) {
     world_.board.count_forward();
     return true;
   }
-  ending.outcome = ending.reused ? Outcome::kUnsent : Outcome::kUnreachable;
+  ending.outcome = ending.reused || was_given_up() ? Outcome::kUnsent : Outcome::kUnreachable;
   ending.reason = Reason::kSendFailed;
   return false;
 }
@@ -195,11 +212,11 @@
 }
 
 // Leaves the rest to another process of this node.
-void ExecutorConnection::park(bool has_head, const Answer& answer, const http::BodyReader& reader,
+void ExecutorConnection::park(bool has_head, bool keep_alive, const http::BodyReader& reader,
                               std::string_view bytes, Ending& ending) {
   auto reading = std::make_shared<Reading>();
   reading->has_head = has_head;
-  reading->keep_alive = answer.keep_alive;
+  reading->keep_alive = keep_alive;
   reading->reused = ending.reused;
   reading->place = reader.place();
   reading->bytes = bytes;
@@ -248,7 +265,7 @@
   const std::size_t size = reading->bytes.size();
   if (!buffer || size > Buffer::kSize || !reader.go_on_from(reading->place)) return;
   std::copy(reading->bytes.begin(), reading->bytes.end(), buffer.data());
-  read_body({200, reading->keep_alive}, reader, buffer, 0, size, size, ending);
+  read_body(reading->keep_alive, reader, buffer, 0, size, size, ending);
 }
 
 void ExecutorConnection::read_answer(Ending& ending, std::string_view begun) {
@@ -260,7 +277,7 @@
   std::size_t size = begun.size();
   for (http::Progress progress = http::Progress::kMore; progress != http::Progress::kDone;) {
     if (!read_more(data, Buffer::kSize, size, ending)) {
-      if (ending.parked) return park(false, {}, {}, {data, size}, ending);
+      if (ending.parked) return park(false, false, {}, {data, size}, ending);
       if (ending.reused && size == 0) ending.outcome = Outcome::kStale;
       return;
     }
@@ -271,21 +288,29 @@
   }
   if (head.status == 200)
     world_.reducer.post([&world = world_, id = work_.id](Time now) { world.node->launch_taken(now, id); });
-  http::BodyReader reader(head.framing, head.length);
-  read_body({head.status, head.keep_alive}, reader, buffer, head.size(), head.size(), size, ending);
-  if (ending.told || head.status == 200) return;
+  if (head.status == 200) {
+    http::BodyReader reader(head.framing, head.length);
+    return read_body(head.keep_alive, reader, buffer, head.size(), head.size(), size, ending);
+  }
+  // Such an answer bears no id. Were it to come twice, the second would be taken for the next launch's, which
+  // would go again though it runs: so the connection goes. What the executor calls a bad request is one
+  // wherever it is sent, and no fault of the executor's.
   const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
-  tell_end(unprocessed ? Outcome::kTurnedAway : Outcome::kErrored, nullptr, ending.whole && head.keep_alive,
-           free_slots_of(head.field("X-Backend-Load")), ending);
+  const bool bad_request =
+      head.status >= 400 && head.status < 500 && head.status != 408 && head.status != 429;
+  tell_end(unprocessed   ? Outcome::kTurnedAway
+           : bad_request ? Outcome::kRejected
+                         : Outcome::kErrored,
+           nullptr, false, free_slots_of(head.field("X-Backend-Load")), ending);
 }
 
-// The lines of a 200 are taken as they come; of any other answer the body is read over.
+// The lines of a 200 are taken as they come.
 // From `start` on the buffer holds content, from `raw` on what is still to be read as the body.
-void ExecutorConnection::read_body(const Answer& answer, http::BodyReader& reader, Buffer& buffer,
+void ExecutorConnection::read_body(bool keep_alive, http::BodyReader& reader, Buffer& buffer,
                                    std::size_t start, std::size_t raw, std::size_t size, Ending& ending) {
   char* const data = buffer.data();
   std::size_t content = raw, taken = 0, written = 0;
-  while (answer.status == 200) {
+  for (;;) {
     const http::Progress progress = reader.read(data + raw, size - raw, data + content, taken, written);
     if (progress == http::Progress::kBad) {
       ending.reason = Reason::kBadMessage;
@@ -297,29 +322,30 @@
       const char* const end = static_cast<char*>(std::memchr(data + line, '\n', content - line));
       if (end == nullptr) break;
       const std::size_t length = static_cast<std::size_t>(end - data) - line;
-      if (length > 1) take_line({data + line, length}, answer.keep_alive, buffer, ending);
+      if (length > 1) take_line({data + line, length}, keep_alive, buffer, ending);
       line += length + 1;
     }
-    ending.whole = progress == http::Progress::kDone;
-    if (ending.whole || (ending.told && !ending.kept)) return;
-    if (ending.told) break;
+    if (ending.told && !ending.kept) return;
+    if (progress == http::Progress::kDone) {
+      ending.whole = taken == size - raw;  // else bytes behind the end, that nobody asked for
+      if (!ending.whole) ending.reason = Reason::kBadMessage;
+      break;
+    }
+    if (ending.told) {
+      read_tail(reader, ending);
+      break;
+    }
     std::memmove(data + start, data + line, content - line);
     size = raw = content = start + (content - line);
     if (read_more(data, Buffer::kSize, size, ending)) continue;
-    if (ending.parked) park(true, answer, reader, {data + start, size - start}, ending);
+    if (ending.parked) park(true, keep_alive, reader, {data + start, size - start}, ending);
     return;
   }
-  if (!ending.told &&
-      reader.read(data + raw, size - raw, data + content, taken, written) == http::Progress::kBad)
-    ending.reason = Reason::kBadMessage;
-  else
-    read_tail(reader, ending);
   // The end was told already: the next launch finds the connection gone and opens another.
   if (ending.told && ending.kept && !ending.whole) drop_socket(ending.reason);
 }
 
-// What is left of an answer whose end is told, or that says nothing but its status. Its buffer may be the
-// result's by now.
+// What is left of an answer whose end is told. Its buffer may be the result's by now.
 void ExecutorConnection::read_tail(http::BodyReader& reader, Ending& ending) {
   char tail[512];
   may_park_ = false;
@@ -328,7 +354,7 @@
   while (!reader.done()) {
     std::size_t size = 0, taken = 0, written = 0;
     if (!read_more(tail, sizeof tail, size, ending)) return;
-    if (reader.read(tail, size, tail, taken, written) == http::Progress::kBad) {
+    if (reader.read(tail, size, tail, taken, written) == http::Progress::kBad || taken < size) {
       ending.reason = Reason::kBadMessage;
       return;
     }
@@ -343,12 +369,15 @@
   if (closing.open()) log_connection_end(Side::kExecutor, work_.id, work_.address, reason);
 }
 
-// A line that cannot be read is a launch that may have run.
+// A line that cannot be read, or that is of another launch, is a launch that may have run: an answer that
+// came late to the request before would else be the result of this one.
 void ExecutorConnection::take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending) {
   rapidjson::Document object;
   object.Parse<kNotRecursive>(line.data(), line.size());
   const JsonValue& state = member(object, "state");
-  const std::string_view word = state.IsString() ? text(state, "state") : std::string_view();
+  const JsonValue& id = member(object, "id");
+  const bool own = !id.IsString() || text(id, "id") == work_.submission->head.field("X-Correlation-Id");
+  const std::string_view word = own && state.IsString() ? text(state, "state") : std::string_view();
   const auto tell = [&](Outcome outcome, ParcelRef result) {
     tell_end(outcome, std::move(result), kept, free_slots_of(member(object, "load")), ending);
   };
@@ -373,7 +402,7 @@
   } else if (word == "lost") {
     tell(Outcome::kBroken, nullptr);
   } else {
-    log_note("executor: a line that cannot be read");
+    log_note(own ? "executor: a line that cannot be read" : "executor: a line of another launch");
     tell_end(Outcome::kBroken, nullptr, false, -1, ending);
     ending.reason = Reason::kBadMessage;
   }
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -32,7 +32,11 @@
   void run();  // the thread's
 
   // The reducer's. One launch at a time; the next one once the last has ended.
-  void launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at);
+  // `write_by`: one that is not being written by then is not written at all.
+  void launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at,
+              Time write_by = kNever);
+  // Gives it up unless its first byte may have gone.
+  void withdraw();
   // Goes on where another process stopped, or stands free with its connection.
   void go_on(Id id, const std::string& address, ParcelRef submission, std::shared_ptr<const Reading> reading);
   void stand_free(Id id, const std::string& address, Socket socket);
@@ -46,13 +50,9 @@
     Id id = 0;
     std::string address;
     std::shared_ptr<const Submitted> submission;
-    Time give_up_at = 0;
+    Time give_up_at = 0, write_by = 0;
     std::shared_ptr<const Reading> reading = nullptr;
   };
-  struct Answer {
-    int status = 0;
-    bool keep_alive = false;
-  };
   struct Ending {
     Outcome outcome = Outcome::kBroken;
     bool told = false;    // the reducer knows
@@ -70,10 +70,10 @@
   void read_answer(Ending& ending, std::string_view begun = {});
   void read_on(Ending& ending);
   Buffer wait_for_buffer();
-  void park(bool has_head, const Answer& answer, const http::BodyReader& reader, std::string_view bytes,
+  void park(bool has_head, bool keep_alive, const http::BodyReader& reader, std::string_view bytes,
             Ending& ending);
   bool read_more(char* data, std::size_t room, std::size_t& size, Ending& ending);
-  void read_body(const Answer& answer, http::BodyReader& reader, Buffer& buffer, std::size_t start,
+  void read_body(bool keep_alive, http::BodyReader& reader, Buffer& buffer, std::size_t start,
                  std::size_t raw, std::size_t size, Ending& ending);
   void read_tail(http::BodyReader& reader, Ending& ending);
   void take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending);
@@ -86,6 +86,7 @@
   std::condition_variable changed_;
   Socket socket_;
   bool given_up_ = false, idle_ = false;
+  bool writing_ = false;  // a byte of the launch may have gone
   std::optional<Work> next_;
   Work work_;                     // the thread's own, as what follows
   Clock::time_point read_until_;  // of the answer that is being read
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -122,8 +122,9 @@
   found->second->answer(status, extra, result, last, writers_);
 }
 
-void Server::close_client(Id client) {
-  if (const auto found = clients_.find(client); found != clients_.end()) found->second->close_when_idle();
+void Server::close_client(Id client, bool finishes) {
+  if (const auto found = clients_.find(client); found != clients_.end())
+    found->second->close_when_idle(finishes);
 }
 
 void Server::launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
@@ -141,7 +142,10 @@
       return;
     }
   }
-  link->launch(launch, address, submission, give_up_at);
+  // Decided now, with what was told by now: half of the grace is for connecting, and an eighth for the list
+  // that may wait in the queue behind this.
+  const Time write_by = now() + world_.terms.read()->drain_grace * 7 / 8;
+  link->launch(launch, address, submission, give_up_at, write_by);
   links_.emplace(launch, std::move(link));
 }
 
@@ -149,14 +153,18 @@
   if (const auto found = links_.find(launch); found != links_.end()) found->second->give_up();
 }
 
+void Server::withdraw(Id launch) {
+  if (const auto found = links_.find(launch); found != links_.end()) found->second->withdraw();
+}
+
 bool Server::still_open(Id launch) {
   const auto found = links_.find(launch);
   return found != links_.end() && found->second->still_open();
 }
 
-void Server::watch_roster(const std::string& address, std::uint64_t from_version) {
+void Server::watch_roster(const std::string& address, std::uint64_t from_version, Time within) {
   if (watch_) watch_->give_up();
-  watch_ = std::make_shared<Watch>(world_, address, from_version);
+  watch_ = std::make_shared<Watch>(world_, address, from_version, Milliseconds(within / (kSecond / 1000)));
   const bool started = start_thread([watch = watch_] { watch->run(); });
   if (!started) world_.reducer.post([this](Time now) { world_.node->roster_refused(now); });
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -28,12 +28,13 @@
   void end_threads();
 
   void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) override;
-  void close_client(Id client) override;
+  void close_client(Id client, bool finishes) override;
   void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
               Time give_up_at) override;
   void give_up(Id launch) override;
+  void withdraw(Id launch) override;
   bool still_open(Id launch) override;
-  void watch_roster(const std::string& address, std::uint64_t from_version) override;
+  void watch_roster(const std::string& address, std::uint64_t from_version, Time within) override;
   void wake_at(Time when, std::uint64_t token) override { world_.reducer.wake_at(when, token); }
   void open_listener() override;
   void close_listener() override;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -158,6 +158,18 @@
   if (fd_ >= 0) ::shutdown(fd_, how);
 }
 
+bool Socket::left() const {
+  pollfd one{fd_, POLLRDHUP, 0};
+  if (::poll(&one, 1, 0) <= 0) return false;
+  if ((one.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0) return true;
+  // Our own end of reading looks alike there.
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return true;
+  return info.tcpi_state != TCP_ESTABLISHED && info.tcpi_state != TCP_FIN_WAIT1 &&
+         info.tcpi_state != TCP_FIN_WAIT2;
+}
+
 Socket Socket::duplicate() const {
   return Socket(::fcntl(fd_, F_DUPFD_CLOEXEC, 0));
 }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -41,6 +41,9 @@
   // As much as goes without waiting; -1: the connection is broken.
   long write_some(std::string_view first, std::string_view second) const;
   void shut(int how) const;
+  // Whether the other end has ended its sending, or the connection is broken; also behind bytes that are not
+  // read yet, and after our own end of reading.
+  bool left() const;
   // A second descriptor for the same connection; not open where the system has none.
   Socket duplicate() const;
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,6 +24,7 @@
 }
 
 constexpr std::uint64_t kTickToken = 0;  // the wake-up of the node's own housekeeping
+constexpr std::uint64_t kAskToken = 2;   // and that of the next call for the list
 constexpr Time kTick = kSecond / 4;      // often enough to ask for the list again in time
 constexpr int kIndexBits = 24;
 constexpr double kGiveWayChance = 0.8;  // less is not worth a place in a crowd; 0.7 to 0.85 fare alike
@@ -146,7 +147,7 @@
     subscribed_ = true;
     ask_pause_ = 0;
   } else if (!subscribed_ && !executors.empty()) {
-    next_ask_ = now + from_seconds(seconds(asking_span()) * uniform(random_));
+    ask_again(now, 0, seconds(asking_span()) * uniform(random_));
   }
   share_room(now);
   serve_held(now);
@@ -154,21 +155,20 @@
 
 // Discovery works through all nodes' calls in turn, also those that have waited too long: of 100 that came
 // together 39 were answered, then none for ten seconds. So they are spread: 20 a second, which it bore.
-constexpr Time kLeastPause = kSecond / 2;
-
 Time Policy::asking_span() const {
-  constexpr Time kTurn = kSecond / 20;
-  return std::clamp(settings_.replicas * kTurn, kLeastPause, longest_pause());
+  constexpr Time kTurn = kSecond / 20, kLeastPause = kSecond / 2;
+  return std::clamp(settings_.replicas * kTurn, std::min(kLeastPause, longest_pause()), longest_pause());
 }
 
 Time Policy::longest_pause() const {
-  return std::max(kLeastPause, settings_.ask_within / 2);
+  return settings_.ask_within / 2;
 }
 
 void Policy::ask_again(Time now, Time pause, double spread) {
   subscribed_ = false;
   ask_pause_ = pause;
   next_ask_ = now + from_seconds(spread);
+  host_.wake_at(next_ask_, kAskToken);
 }
 
 void Policy::roster_refused(Time now) {
@@ -177,9 +177,9 @@
 }
 
 // What a silent subscription misses counts as told seconds after it fell silent: 62 of 300 nodes that waited
-// for up to 5 s sent 18 launches to executors that had left. So the next call comes within one.
+// up to 5 s sent to executors that had left. The next call comes within one; after a silent call at once.
 void Policy::roster_silent(Time now) {
-  ask_again(now, 0, uniform(random_));
+  ask_again(now, kSilent, ask_pause_ == kSilent ? 0 : uniform(random_));
 }
 
 void Policy::roster_moved(Time now) {
@@ -940,8 +940,8 @@
   Executor& executor = executors[launch.executor];
   if (!tells_held(now, executor) || executor.held <= most_held(executor)) room_ += 1;
   executor.used = now;
-  const bool answered =
-      outcome == Outcome::kSatisfied || outcome == Outcome::kErrored || outcome == Outcome::kTurnedAway;
+  const bool answered = outcome == Outcome::kSatisfied || outcome == Outcome::kErrored ||
+                        outcome == Outcome::kTurnedAway || outcome == Outcome::kRejected;
   answered ? word_from(executor) : connection_closed(launch.executor);  // it takes its connection with it
   take_load(executor, load);
   switch (outcome) {
@@ -982,7 +982,7 @@
     case Outcome::kTimedOut:
       blame(now, launch);
       break;
-    default:  // cancelled, unsent, or a connection that may have died any time since it was used last
+    default:  // cancelled, unsent, rejected, or a connection that may have died long before
       break;
   }
   if (settled) {
@@ -1100,6 +1100,7 @@
 
 void Policy::timer_due(Time now, std::uint64_t token) {
   if (token == kTickToken) return tick(now);
+  if (token == kAskToken) return follow_list(now);
   if (token == kHeldToken) {
     serve_held(now);
     return look_at_held(now);
--- a/src/policy.h
+++ b/src/policy.h
@@ -31,7 +31,8 @@
   kBroken,
   kStale,  // broke before a word of an answer, on a connection that had stood free
   kCancelled,
-  kUnsent
+  kUnsent,
+  kRejected  // the executor says that it is no request: nobody's fault, and the submission's end
 };
 
 struct UseCase {
@@ -284,6 +285,7 @@
   std::uint64_t list_ = 0;  // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
   Time overload_seen_ = -kNever;
+  static constexpr Time kSilent = -1;  // in place of a pause: the last call or subscription fell silent
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
   std::vector<int> order_;                     // all executors, as this node goes through them
--- /dev/null
+++ b/tests/races_test.cpp
@@ -0,0 +1,519 @@
+// What comes between two lines: each test makes one bad order happen every time (docs/races.md).
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "helpers.h"
+#include "net/client.h"
+#include "net/discovery.h"
+#include "net/executor.h"
+
+namespace canvasstage {
+namespace {
+
+std::string line_of(const std::string& id, const std::string& state, const std::string& more = "") {
+  return R"({"id":")" + id + R"(","from":"s-1","state":")" + state + "\"" + more + "}";
+}
+
+// The whole answer, as the platform words it.
+void answer_to(Peer& executor, const std::string& id, const std::string& result) {
+  executor.begin_lines();
+  executor.write_line(line_of(id, "started"));
+  executor.write_line(line_of(id, "done", R"(,"result":")" + result + "\""));
+  executor.end_lines();
+}
+
+// With other settings from now on.
+void reload_with(Running& run, const std::string& from, const std::string& to) {
+  const std::string before = run.config(256, "127.0.0.1:0", "7", run.discovery.address);
+  const std::string after = replaced(before, from, to);
+  EXPECT_NE(before, after);
+  run.reload(after);
+  EXPECT_TRUE(run.wait_for_log("reload: discovery is "));
+}
+
+constexpr const char* kCancels = R"("cancelling":true)";
+constexpr const char* kCancelsNot = R"("cancelling":false)";
+
+// --- Answers on kept connections ---
+
+// The first answer comes once more when the next request has been written: it was that one's result.
+TEST(ProgramRaces, ALateSecondAnswerIsNobodysResult) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  answer_to(executor, "id1", "old");
+  EXPECT_TRUE(holds(client.read_message(), "old"));
+  client.write(Running::job("lookup", "id2"));
+  EXPECT_TRUE(holds(executor.read_message(), "X-Correlation-Id: id2\r\n"));
+  answer_to(executor, "id1", "old");
+  EXPECT_EQ(executor.read_to_end(), "");
+  Peer next = run.first.accept();
+  EXPECT_TRUE(holds(next.read_message(), "X-Correlation-Id: id2\r\n"));
+  answer_to(next, "id2", "new");
+  EXPECT_TRUE(holds(client.read_message(), "new"));
+}
+
+// It may have run: a single-use one is aborted.
+TEST(ProgramRaces, AnAnswerOfAnotherRequestEndsASingleUseOne) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "charge", "id1");
+  executor.read_message();
+  answer_to(executor, "id0", "another's");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 "));
+  EXPECT_EQ(executor.read_to_end(), "");
+  EXPECT_TRUE(run.first.nobody_waits());
+}
+
+// A second answer behind the first, at once or while the connection stands free: it is out of step.
+TEST(ProgramRaces, AConnectionWithBytesThatNobodyAskedForIsClosed) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  for (const bool at_once : {true, false}) {
+    Peer executor = launched(run, client, "lookup", at_once ? "id1" : "id2");
+    executor.read_message();
+    const std::string second = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    executor.begin_lines();
+    executor.write_line(line_of(at_once ? "id1" : "id2", "done", R"(,"result":"ok")"));
+    executor.write("0\r\n\r\n" + (at_once ? second : ""));
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+    if (!at_once) executor.write(second);
+    EXPECT_EQ(executor.read_to_end(), "");
+  }
+}
+
+// What an executor calls a bad request is one everywhere: nobody else is asked, and nobody is avoided for it.
+TEST(ProgramRaces, WhatAnExecutorCallsABadRequestEndsThatOneAlone) {
+  Running run;
+  Peer watch = told_only_first(run);
+  for (int i = 0; i < 8; ++i) {
+    Peer client = run.client();
+    Peer executor = launched(run, client, "lookup", "id" + std::to_string(i));
+    executor.read_message();
+    executor.write("HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(starts(client.read_to_end(), "HTTP/1.1 400 "));
+    EXPECT_TRUE(run.first.nobody_waits());
+  }
+}
+
+// The executor has read the request over a kept connection and closes it unanswered: what goes again?
+TEST(ProgramRaces, AKeptConnectionThatClosesUnderTheNextRequest) {
+  Running run;
+  Peer watch = told_only_first(run);
+  for (const std::string use_case : {"lookup", "phase-run", "charge"}) {
+    Peer client = run.client();
+    Peer executor = launched(run, client, use_case, use_case + "1");
+    executor.read_message();
+    answer_to(executor, use_case + "1", "one");
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+    client.write(Running::job(use_case, use_case + "2"));
+    executor.read_message();
+    executor.close();
+    if (use_case == "charge") {  // it may have run
+      EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 502 "));
+      EXPECT_TRUE(run.first.nobody_waits());
+      continue;
+    }
+    Peer next = run.first.accept();
+    EXPECT_TRUE(holds(next.read_message(), "X-Correlation-Id: " + use_case + "2\r\n"));
+    answer_to(next, use_case + "2", "two");
+    EXPECT_TRUE(holds(client.read_message(), "two"));
+    next.close();
+  }
+}
+
+// --- A client that leaves ---
+
+// Held behind another job that has not begun; room comes once it has left.
+class ProgramRacesLeaving : public testing::TestWithParam<std::tuple<bool, bool>> {};
+
+TEST_P(ProgramRacesLeaving, WhatIsHeldIsNotSentOn) {
+  const auto [bytes_ahead, by_reset] = GetParam();
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer first = run.client();
+  Peer executor = launched(run, first, "charge", "id1");
+  executor.read_message();
+  Peer leaver = run.client();
+  leaver.write(Running::job("lookup", "id2") + (bytes_ahead ? Running::job("lookup", "id3") : ""));
+  reload_with(run, R"("agreedTime":3)", R"("agreedTime":2)");  // changes nothing for what is held
+  by_reset ? leaver.reset() : leaver.close();
+  EXPECT_TRUE(run.wait_for_log("reason=left_while_open"));
+  answer_to(executor, "id1", "one");
+  EXPECT_TRUE(holds(first.read_message(), "one"));
+  first.write(Running::job("lookup", "id4"));  // the next that comes there is this one
+  EXPECT_TRUE(holds(executor.read_message(), "X-Correlation-Id: id4\r\n"));
+  EXPECT_TRUE(run.first.nobody_waits());
+}
+
+INSTANTIATE_TEST_SUITE_P(ProgramRaces, ProgramRacesLeaving,
+                         testing::Combine(testing::Bool(), testing::Bool()), [](const auto& one) {
+                           return std::string(std::get<0>(one.param) ? "BytesAhead" : "NoBytesAhead") +
+                                  (std::get<1>(one.param) ? "Reset" : "Closed");
+                         });
+
+// Also where nothing may be cancelled: no byte of it has gone, and none is to go.
+TEST(ProgramRaces, AClientThatLeavesWhileAConnectionComesUp) {
+  Running run;
+  Peer watch = told_only_first(run);
+  for (const char* const cancels : {kCancels, kCancelsNot}) {
+    const std::string before = run.config(256, "127.0.0.1:0", "7", run.discovery.address);
+    run.reload(replaced(
+        replaced(replaced(before, kCancels, cancels), R"("connectTimeout":0.25)", R"("connectTimeout":5)"),
+        R"("drainGrace":1.5)", R"("drainGrace":10)"));
+    EXPECT_TRUE(run.wait_for_log("reload: discovery is "));
+    Listener slow;
+    std::vector<Peer> waiting = slow.fill();
+    Running::tell(watch,
+                  Running::entry("s-1", run.first.address, "left") + "," +
+                      Running::entry(std::string("s-") + cancels[13], slow.address),
+                  false);
+    EXPECT_TRUE(run.wait_for_log("roster taken"));
+    Peer leaver = run.client();
+    leaver.write(Running::job("lookup", std::string("id") + cancels[13], "3000m"));
+    slow.wait_for_one_that_connects();
+    leaver.close();
+    EXPECT_TRUE(run.wait_for_log("reason=left_while_open"));
+    slow.accept();  // the one that was in the way: from now on whoever still connects comes in
+    EXPECT_TRUE(run.wait_for_log("side=executor"));
+    EXPECT_TRUE(slow.nobody_waits());
+  }
+}
+
+// Between two attempts: the first ends after its client has left.
+TEST(ProgramRaces, AClientThatLeavesBetweenTwoAttempts) {
+  Running run;
+  reload_with(run, kCancels, kCancelsNot);
+  Peer watch = told_only_first(run);
+  Peer leaver = run.client();
+  Peer executor = launched(run, leaver, "lookup", "id1");
+  executor.read_message();
+  leaver.close();
+  EXPECT_TRUE(run.wait_for_log("reason=left_while_open"));
+  executor.close();
+  EXPECT_TRUE(run.wait_for_log("side=executor"));
+  Peer other = run.client();
+  EXPECT_TRUE(holds(launched(run, other, "lookup", "id2").read_message(), "X-Correlation-Id: id2\r\n"));
+}
+
+// Our own end of reading looks like the client's: it crossed with the request, and the client left later.
+TEST(ProgramRaces, AClientThatLeavesAfterItsConnectionWasToClose) {
+  Parts parts(1);
+  Listener clients;
+  Peer leaver = Peer::to(clients.address);
+  leaver.write(Running::job("lookup", "id1"));
+  const auto client =
+      std::make_shared<net::ClientConnection>(1, clients.accept().release(), "peer", parts.world);
+  client->close_when_idle(false);
+  parts.core.node.client_opened(kNow, 1);
+  std::atomic<bool> ended{false};
+  std::thread thread([&] {
+    client->run();
+    ended = true;
+  });
+  parts.run_until([&] { return parts.core.effects.launches.size() == 1; });
+  EXPECT_FALSE(ended);
+  leaver.close();
+  thread.join();  // it waits for an answer that never comes
+  EXPECT_TRUE(parts.core.effects.answers.empty());
+}
+
+// --- The executor's side of a launch ---
+
+// Decided before a drain was told, written long after: its connection came up late.
+TEST(ProgramRaces, ALaunchThatComesTooLateForTheGraceIsNotWritten) {
+  Parts parts(1);
+  parts.core.arrive(1, 0, net::now());
+  Listener executor;
+  net::ExecutorConnection link(parts.world, std::chrono::seconds(1));
+  link.launch(parts.core.effects.launches[0].id, executor.address,
+              parts.submission(Running::job("lookup", "id1")), net::now() + 4 * kSecond, net::now() - 1);
+  std::thread thread([&link] { link.run(); });
+  EXPECT_EQ(executor.accept().read_to_end(), "");
+  // It never ran, and nobody is to blame: it goes out again.
+  parts.run_until([&] { return parts.core.effects.launches.size() == 2; });
+  thread.join();
+}
+
+// Given up while it connects: that says nothing of the executor.
+TEST(ProgramRaces, OneThatIsGivenUpAsItConnectsBlamesNobody) {
+  for (const bool withdrawn : {false, true}) {
+    Parts parts(1);
+    parts.core.arrive(1, 0, net::now());
+    Listener executor;
+    const std::vector<Peer> waiting = executor.fill();
+    net::ExecutorConnection link(parts.world, std::chrono::seconds(5));
+    std::thread thread([&link] { link.run(); });
+    link.launch(parts.core.effects.launches[0].id, executor.address,
+                parts.submission(Running::job("lookup", "id1")), net::now() + 4 * kSecond);
+    executor.wait_for_one_that_connects();
+    withdrawn ? link.withdraw() : link.give_up();
+    thread.join();
+    parts.run_until([&] { return parts.core.effects.launches.size() == 2; });
+    EXPECT_FALSE(parts.core.node.policy().avoided(net::now(), parts.core.node.policy().executors[0]));
+  }
+}
+
+// --- The list ---
+
+// It tells bytes, and no whole line: the next call is to come as if it said nothing.
+TEST(ProgramRaces, AWatchThatTricklesIsSilent) {
+  Running run;
+  Peer watch = told_only_first(run);
+  const auto told = std::chrono::steady_clock::now();
+  watch.write("1000\r\n");
+  while (run.discovery.nobody_within(std::chrono::milliseconds(200))) {
+    ASSERT_LT(std::chrono::steady_clock::now() - told, std::chrono::seconds(6));
+    watch.write(" ");
+  }
+}
+
+// What it missed counts as told 6 s after its last line, and the call that follows says nothing either.
+TEST(ProgramRaces, TheCallAfterASilentWatchMayBeSilentToo) {
+  Running run;
+  reload_with(run, R"("askWithin":2)", R"("askWithin":10)");
+  Peer watch = told_only_first(run);
+  const auto told = std::chrono::steady_clock::now();
+  Peer silent = run.discovery.accept();
+  silent.read_until("\r\n\r\n");
+  Peer next = run.accept_watch(
+      Running::entry("s-1", run.first.address, "left") + "," + Running::entry("s-2", run.second.address),
+      false);
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  EXPECT_LT(std::chrono::steady_clock::now() - told, std::chrono::seconds(6));
+}
+
+// A call that is about to be served is not given up for one at the end of the queue.
+TEST(Races, OneCallToDiscoveryAtATime) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = true;
+  settings.ask_within = kSecond;
+  Core core(1, 1024, settings);
+  core.node.roster_refused(kNow);
+  core.run_until(kNow + 4 * kSecond);
+  EXPECT_EQ(core.effects.watches.size(), 1u);
+  core.node.roster_refused(kNow + 4 * kSecond);
+  core.run_until(kNow + 6 * kSecond);
+  EXPECT_EQ(core.effects.watches.size(), 2u);
+}
+
+// What the agent has counts as told at once: a watch that was reset is there again within a part of the
+// grace.
+TEST(Races, APushedListIsWatchedAgainAtOnce) {
+  Core core(1);
+  const std::size_t before = core.effects.watches.size();
+  for (int i = 1; i <= 3; ++i) {
+    const Time now = kNow + i * kSecond;
+    core.run_until(now);
+    core.node.roster_refused(now);
+    core.run_until(now + kSecond * 3 / 20);
+    EXPECT_EQ(core.effects.watches.size(), before + static_cast<std::size_t>(i));
+  }
+}
+
+// Only the calls right after a silence are short: a service that is down is not asked once a second for good.
+TEST(Races, TheCallsAfterASilenceAreShortForAWhile) {
+  Settings settings = small_settings();
+  settings.ask_for_roster = true;
+  settings.ask_within = 10 * kSecond;
+  Core core(1, 1024, settings);
+  Time now = kNow;
+  for (int i = 0; i < 5; ++i) {
+    core.node.roster_silent(now);
+    core.run_until(now + kSecond + 1);
+    now += 2 * kSecond;
+  }
+  ASSERT_EQ(core.effects.watched_for.size(), 5u);
+  EXPECT_LT(core.effects.watched_for[0], 2 * kSecond);
+  EXPECT_LT(core.effects.watched_for[1], 2 * kSecond);
+  EXPECT_GT(core.effects.watched_for[4], 5 * kSecond);
+}
+
+// A line has been read and waits in the queue as another watch is asked for, or as the node is moved: it was
+// told when it was written. An older one behind a newer one undoes nothing.
+TEST(ProgramRaces, ALineThatWasReadAsItsWatchWasReplaced) {
+  Parts parts(2);
+  const auto told = [&](int generation, const char* lifecycle, bool replaced_meanwhile) {
+    Listener discovery;
+    const auto watch =
+        std::make_shared<net::Watch>(parts.world, discovery.address, 1, std::chrono::milliseconds(5000));
+    std::thread thread([&] { watch->run(); });
+    Peer peer = discovery.accept();
+    peer.read_until("\r\n\r\n");
+    peer.begin_lines();
+    peer.write_line(R"({"generation":)" + std::to_string(generation) + R"(,"reset":false,"instances":[)" +
+                    Running::entry("s-0", "host:0", lifecycle) + "]}");
+    peer.end_lines();
+    thread.join();  // what it read waits in the reducer's queue
+    if (replaced_meanwhile) watch->give_up();
+  };
+  told(5, "leaving", true);
+  told(4, "active", true);
+  told(3, "active", false);
+  parts.run_until([&] { return parts.core.node.roster_version() == 5; });
+  EXPECT_EQ(parts.core.node.policy().executors[0].standing, Standing::kDraining);
+}
+
+TEST(ProgramRaces, AnOlderOrContradictoryListChangesNothingAndIsNamed) {
+  Running run;
+  Peer watch = run.accept_watch(Running::entry("s-1", run.first.address) + "," +
+                                Running::entry("s-2", run.second.address, "leaving"));
+  EXPECT_TRUE(run.wait_for_log("roster taken"));
+  watch.write_line(R"({"generation":1,"reset":false,"instances":[)" +
+                   Running::entry("s-2", run.second.address) + "]}");
+  EXPECT_TRUE(run.wait_for_log("generation: 1 is older than 2"));
+  watch.write_line(R"({"generation":3,"reset":false,"instances":[)" +
+                   Running::entry("s-2", run.second.address) + "," +
+                   Running::entry("s-2", run.second.address, "leaving") + "]}");
+  EXPECT_TRUE(run.wait_for_log("instanceId: twice s-2"));
+  for (int i = 0; i < 6; ++i) {
+    Peer client = run.client();
+    Peer executor = launched(run, client, "lookup", "id" + std::to_string(i));
+    executor.read_message();
+    answer_to(executor, "id" + std::to_string(i), "ok");
+    EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+    executor.close();
+  }
+  EXPECT_TRUE(run.second.nobody_waits());
+}
+
+// --- Stop and reload ---
+
+// Half written when the node closes what is idle: the rest may still come. Our own end of reading comes
+// first.
+TEST(ProgramRaces, ASubmissionHalfWrittenAtTheStopIsTaken) {
+  Parts parts(1);
+  Listener clients;
+  Peer client = Peer::to(clients.address);
+  const std::string job = Running::job("lookup", "id1");
+  const auto connection =
+      std::make_shared<net::ClientConnection>(1, clients.accept().release(), "peer", parts.world);
+  client.write(
+      "POST /lookup HTTP/1.1\r\nExpect: 100-continue\r\nX-Correlation-Id: id1\r\n"
+      "X-Time-Left: 4000m\r\nContent-Length: 2\r\n\r\n");
+  parts.core.node.client_opened(kNow, 1);
+  std::thread thread([&] { connection->run(); });
+  client.read_until("\r\n\r\n");  // it is being read
+  connection->close_when_idle(true);
+  client.write("ab");
+  parts.run_until([&] { return parts.core.effects.launches.size() == 1; });
+  client.close();
+  thread.join();
+}
+
+// Answered in the very moment in which the others were told to close: it stayed open to the end.
+TEST(Races, OneThatBecameIdleAsTheOthersWereClosedIsClosedToo) {
+  Core core(1);
+  core.arrive(5, 0);
+  core.node.stop(kNow);
+  Time when = 0;  // the stop's own timer: the one that closes the listener
+  core.effects.listening = true;
+  for (Time now = kNow; core.effects.listening; now += 1) core.run_until(when = now);
+  Core again(1);
+  again.arrive(5, 0);
+  again.node.stop(kNow);
+  again.end(1, Outcome::kSatisfied, when, true);
+  again.run_until(when);
+  again.node.listener_closed(when);
+  EXPECT_TRUE(again.effects.closed.empty());
+  again.run_until(when + kSecond / 5);
+  EXPECT_EQ(again.effects.closed, std::vector<Id>{5});
+}
+
+// Clients come without a pause, so the listener never closes; none is kept open up to the very end.
+TEST(Races, WhatIsIdleAtTheLastHardLimitIsClosed) {
+  Core core(1);
+  core.node.stop(kNow);
+  core.run_until(kNow + kSecond * 31 / 10);
+  core.node.client_opened(kNow + kSecond * 31 / 10, 5);
+  EXPECT_TRUE(core.effects.closed.empty());
+  core.run_until(kNow + kSecond * 34 / 10);
+  EXPECT_EQ(core.effects.closed, std::vector<Id>{5});
+  EXPECT_TRUE(core.effects.running);
+}
+
+// SIGTERM with one that runs, one that is held and one that is answered in part; then SIGTERM and SIGHUP
+// again.
+TEST(ProgramRaces, FurtherSignalsDuringTheStopLoseNothing) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client(), held = run.client();
+  Peer executor = launched(run, client, "charge", "id1");
+  executor.read_message();
+  held.write(Running::job("charge", "id2"));
+  run.stop();
+  EXPECT_TRUE(run.wait_for_log("told to stop"));
+  run.stop();
+  EXPECT_TRUE(run.wait_for_log("told to stop"));
+  reload_with(run, R"("name":"charge","agreedTime":1)", R"("name":"charge","agreedTime":2)");
+  executor.begin_lines();
+  executor.write_line(line_of("id1", "started"));
+  Peer second = run.first.accept();  // room for the one that is held
+  EXPECT_TRUE(holds(second.read_message(), "X-Correlation-Id: id2\r\n"));
+  executor.write_line(line_of("id1", "done", R"(,"result":"one")"));
+  executor.end_lines();
+  answer_to(second, "id2", "two");
+  EXPECT_TRUE(holds(client.read_message(), "one"));
+  EXPECT_TRUE(holds(held.read_message(), "two"));
+  EXPECT_EQ(client.read_to_end(), "");  // closed by the node, though the client keeps it
+  EXPECT_EQ(held.read_to_end(), "");
+  EXPECT_EQ(run.wait(), 0);
+}
+
+// Its use case needs a reference from the reload on, and a client wrote half of it before.
+TEST(ProgramRaces, AReloadUnderAHalfWrittenSubmission) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  client.write(
+      "POST /lookup HTTP/1.1\r\nExpect: 100-continue\r\nX-Correlation-Id: id1\r\n"
+      "X-Time-Left: 4000m\r\nContent-Length: 2\r\n\r\n");
+  EXPECT_TRUE(starts(client.read_until("\r\n\r\n"), "HTTP/1.1 100 "));
+  reload_with(run, R"("hardLimit":5,"semantics":"free")",
+              R"("hardLimit":5,"semantics":"guarded","group":"all","window":5)");
+  client.write("ab");
+  Peer executor = run.first.accept();
+  executor.read_message();
+  answer_to(executor, "id1", "ok");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+  client.write("POST /lookup HTTP/1.1\r\nX-Correlation-Id: id2\r\nX-Time-Left: 4000m\r\n\r\n");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 400 "));
+}
+
+// A launch that may have run under the old effect; the use case of that name is single-use from the reload
+// on.
+TEST(ProgramRaces, AReloadThatChangesTheEffectOfWhatIsUnderWay) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client(), other = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  executor.begin_lines();
+  executor.write_line(line_of("id1", "started"));
+  Peer second = launched(run, other, "charge", "id2");
+  second.read_message();
+  const std::string before = run.config(256, "127.0.0.1:0", "7", run.discovery.address);
+  run.reload(replaced(replaced(before, R"("name":"lookup")", R"("name":"charge")"),
+                      R"({"name":"charge","agreedTime":1)", R"({"name":"lookup","agreedTime":1)"));
+  EXPECT_TRUE(run.wait_for_log("reload: discovery is "));
+  second.close();  // single-use when it was handed in: it is not sent again
+  EXPECT_TRUE(starts(other.read_message(), "HTTP/1.1 502 "));
+  executor.close();  // replayable when it was handed in
+  Peer again = run.first.accept();
+  EXPECT_TRUE(holds(again.read_message(), "X-Correlation-Id: id1\r\n"));
+  answer_to(again, "id1", "ok");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+  other.write(Running::job("lookup", "id3"));  // single-use now
+  again.read_message();
+  again.close();
+  EXPECT_TRUE(starts(other.read_message(), "HTTP/1.1 502 "));
+}
+
+}  // namespace
+}  // namespace canvasstage
