--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -289,7 +289,7 @@
 
 class Listener {
  public:
-  Listener() : socket_(net::listen_on("127.0.0.1:0")) {
+  explicit Listener(const std::string& at = "127.0.0.1:0") : socket_(net::listen_on(at)) {
     socket_.limit_reading(std::chrono::seconds(10));
     address = socket_.address();
   }
@@ -414,11 +414,12 @@
     rmdir(folder_.c_str());
   }
   void stop(int signal = SIGTERM) { kill(pid_, signal); }
-  // Stops all its threads and lets them go on.
-  void interrupt() {
+  // Stops all its threads and lets them go on; what comes between finds none of them awake.
+  void interrupt(const std::function<void()>& between = [] {}) {
     int status;
     kill(pid_, SIGSTOP);
     waitpid(pid_, &status, WUNTRACED);
+    between();
     kill(pid_, SIGCONT);
   }
   // Replaces the file and says so.
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -128,6 +128,24 @@
   }
 }
 
+// Its job is done and the rest never comes: the next one waits a moment for that connection and takes
+// another.
+TEST(ProgramRaces, AnAnswerThatNeverEnds) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "charge", "id1");
+  executor.read_message();
+  executor.begin_lines();
+  executor.write_line(line_of("id1", "done", R"(,"result":"one")"));
+  EXPECT_TRUE(holds(client.read_message(), "one"));
+  client.write(Running::job("charge", "id2"));
+  Peer next = run.first.accept();
+  EXPECT_TRUE(holds(next.read_message(), "X-Correlation-Id: id2\r\n"));
+  answer_to(next, "id2", "two");
+  EXPECT_TRUE(holds(client.read_message(), "two"));
+}
+
 // --- A client that leaves ---
 
 // Held behind another job that has not begun; room comes once it has left.
@@ -466,6 +484,74 @@
   EXPECT_EQ(run.wait(), 0);
 }
 
+// Two requests, one of them half, both signals and another file, before the node has seen any of it.
+TEST(ProgramRaces, RequestsAndSignalsThatComeTogether) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer whole = run.client(), half = run.client();
+  const std::string job = Running::job("charge", "id2");
+  run.interrupt([&] {
+    whole.write(Running::job("charge", "id1"));
+    half.write(job.substr(0, job.size() / 2));
+    run.reload(replaced(run.config(256, "127.0.0.1:0", "7", run.discovery.address),
+                        R"("name":"charge","agreedTime":1)", R"("name":"charge","agreedTime":2)"));
+    run.stop();
+  });
+  EXPECT_TRUE(run.wait_for_log("told to stop"));
+  Peer executor = run.first.accept();
+  executor.read_message();
+  answer_to(executor, "id1", "one");
+  EXPECT_TRUE(holds(whole.read_message(), "one"));
+  half.write(job.substr(job.size() / 2));
+  EXPECT_TRUE(holds(executor.read_message(), "X-Correlation-Id: id2\r\n"));
+  answer_to(executor, "id2", "two");
+  EXPECT_TRUE(holds(half.read_message(), "two"));
+  EXPECT_EQ(whole.read_to_end(), "");
+  EXPECT_EQ(half.read_to_end(), "");
+  EXPECT_EQ(run.wait(), 0);
+}
+
+// A client that sends the next request the moment it has an answer: each gets one, and the last says so.
+TEST(ProgramRaces, AClientThatSendsOnItsKeptConnectionUntilTheEnd) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id0");
+  executor.read_message();
+  answer_to(executor, "id0", "ok");
+  std::string answer = client.read_message();
+  run.stop();
+  EXPECT_TRUE(run.wait_for_log("told to stop"));
+  for (int i = 1; !holds(answer, "Connection: close\r\n"); ++i) {
+    const std::string id = "id" + std::to_string(i);
+    client.write(Running::job("lookup", id));
+    ASSERT_TRUE(holds(executor.read_message(), "X-Correlation-Id: " + id + "\r\n"));
+    answer_to(executor, id, "ok");
+    answer = client.read_message();
+    ASSERT_TRUE(starts(answer, "HTTP/1.1 200 ")) << i;
+  }
+  EXPECT_EQ(client.read_to_end(), "");
+  EXPECT_EQ(run.wait(), 0);
+}
+
+// Down over the reload that names it, and back: served meanwhile by the list that is held.
+TEST(ProgramRaces, ADiscoveryThatIsDownOverAReload) {
+  Running run;
+  Peer watch = told_only_first(run);
+  Listener later;
+  later.close();
+  run.reload(run.config(256, "127.0.0.1:0", "7", later.address));
+  EXPECT_EQ(watch.read_to_end(), "");
+  EXPECT_TRUE(run.wait_for_log("side=discovery id=2 peer=" + later.address + " reason=unreachable"));
+  Peer client = run.client();
+  Peer executor = launched(run, client, "lookup", "id1");
+  executor.read_message();
+  answer_to(executor, "id1", "ok");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+  Listener back(later.address);
+  EXPECT_TRUE(holds(back.accept().read_until("\r\n\r\n"), "index=2 "));
+}
+
 // Its use case needs a reference from the reload on, and a client wrote half of it before.
 TEST(ProgramRaces, AReloadUnderAHalfWrittenSubmission) {
   Running run;
