--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -170,7 +170,7 @@
 
 // --- The thread's side ---
 
-void ClientConnection::run() {
+Reason ClientConnection::run() {
   Reason reason = Reason::kPeerClosed;
   bool open;
   {
@@ -181,7 +181,7 @@
     while (serve_one(reason)) {
     }
   if (lingers_) linger();  // by now it holds no buffer
-  log_connection_end(Side::kClient, id_, peer_, reason);
+  return reason;
 }
 
 void ClientConnection::wait_until(Time then) {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -42,7 +42,8 @@
   // Goes on from another process of this node. What it said since stands in `carry`; open: its submission is.
   void go_on(bool fresh, Time opened, bool keep_alive, bool open, std::string carry);
   Id id() const { return id_; }
-  void run();  // the thread's
+  Reason run();  // the thread's, until it ends; why it did
+  const std::string& peer() const { return peer_; }
 
   // The reducer's.
   void answer(int status, std::string_view extra, const ParcelRef& result, bool last, Writers& writers);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -85,9 +85,13 @@
 
 void Server::start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone) {
   const bool started = start_thread([client = client, gone]() mutable {
-    client->run();
+    const Reason reason = client->run();
+    const Id id = client->id();
+    const std::string peer = client->peer();
     client.reset();
     gone();
+    // Behind that: what is read here has been told.
+    log_connection_end(Side::kClient, id, peer, reason);
   });
   if (!started) gone();
 }
