A bad request ends at the second launch that says so, as one executor may reject everything

Reread: with a submission ended by the first 4xx an executor that answers 404 to all is quick, always free, and ends what others would serve.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -144,6 +144,7 @@
   entry.use_case = use_case;
   entry.due = due;
   entry.pending = 0;
+  entry.rejected = 0;
   entry.ended = false;
   return index;
 }
@@ -343,7 +344,9 @@
   Entry& entry = entries_[running.submission];
   --entry.pending;
   if (outcome == Outcome::kSatisfied) answer(running.submission, Answer::kSatisfied, result, 0);
-  if (outcome == Outcome::kRejected) answer(running.submission, Answer::kRejected, nullptr, 0);
+  // What two call a bad request is one everywhere; one alone may be the one that is wrong, and quick.
+  if (outcome == Outcome::kRejected && ++entry.rejected == 2)
+    answer(running.submission, Answer::kRejected, nullptr, 0);
   const Time sent = policy_.submissions[running.submission].launches[running.number].sent;
   policy_.launch_ended(now, running.submission, running.number, outcome, now - sent, entry.ended, load);
   release_if_over(running.submission);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -108,6 +108,7 @@
     int use_case = 0;
     Time due = 0;  // as its client said
     int pending = 0;
+    int rejected = 0;  // launches of it that were
     bool ended = true;
   };
   struct Client {
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -293,8 +293,7 @@
     return read_body(head.keep_alive, reader, buffer, head.size(), head.size(), size, ending);
   }
   // Such an answer bears no id. Were it to come twice, the second would be taken for the next launch's, which
-  // would go again though it runs: so the connection goes. What the executor calls a bad request is one
-  // wherever it is sent, and no fault of the executor's.
+  // would go again though it runs: so the connection goes.
   const bool unprocessed = (head.status == 503 || head.status == 504) && head.field("X-Unprocessed") == "1";
   const bool bad_request =
       head.status >= 400 && head.status < 500 && head.status != 408 && head.status != 429;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -971,18 +971,18 @@
     case Outcome::kErrored:
       executor.bad.add(now, kHealthLife, kErrorWeight);
       break;
-    // A process that dies takes all its connections along; one that breaks while others stay tells of the
-    // way.
+    // A process that dies takes all connections along; one that breaks while others stay tells of the way.
     case Outcome::kBroken:
       executor.bad.add(now, kHealthLife, executor.connections > 0 ? kLittleWeight : kErrorWeight);
       break;
     case Outcome::kTurnedAway:
+    case Outcome::kRejected:
       executor.bad.add(now, kHealthLife, kLittleWeight);
       break;
     case Outcome::kTimedOut:
       blame(now, launch);
       break;
-    default:  // cancelled, unsent, rejected, or a connection that may have died long before
+    default:  // cancelled, unsent, or a connection that may have died any time since it was used last
       break;
   }
   if (settled) {
--- a/src/policy.h
+++ b/src/policy.h
@@ -32,7 +32,7 @@
   kStale,  // broke before a word of an answer, on a connection that had stood free
   kCancelled,
   kUnsent,
-  kRejected  // the executor says that it is no request: nobody's fault, and the submission's end
+  kRejected  // the executor says that it is no request: the submission's fault, or this executor's
 };
 
 struct UseCase {
