Reread: a list is checked once before it is taken, and one place ends an executor's connection

take_line checked each list and take_list checked it again; both its callers had done so before (discovery.cpp, configuration.cpp). give_up, release and withdraw held the same three lines (executor.cpp end).

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -73,7 +73,6 @@
 }
 
 void take_list(Node& node, Time now, const JsonValue& list, bool remembered) {
-  const std::uint64_t version = check_list(list);
   const JsonValue& reset = member(list, "reset");
   for (const JsonValue& entry : member(list, "instances").GetArray()) {
     const JsonValue& weight = member(entry, "weight");
@@ -87,7 +86,7 @@
   const RosterForm form = remembered                          ? RosterForm::kRemembered
                           : reset.IsBool() && reset.GetBool() ? RosterForm::kWhole
                                                               : RosterForm::kChanges;
-  node.roster_arrived(now, form, version);
+  node.roster_arrived(now, form, whole(needed(list, "generation"), "generation"));
 }
 
 void Watch::give_up() {
@@ -197,7 +196,7 @@
         return self->given_up_ ? void() : self->world_.node->roster_arrived(now, RosterForm::kChanges, held);
       }
       take_list(*self->world_.node, now, *list, false);
-      log_note("roster taken, version " + std::to_string((*list)["generation"].GetUint64()));
+      log_note("roster taken, version " + std::to_string(version));
     } catch (const BadInput& input) {
       log_note(std::string("discovery: ") + input.what());
       if (self->given_up_) return;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -36,7 +36,7 @@
 // come indented. npos: not yet.
 std::size_t message_end(std::string_view bytes);
 // A list in discovery's form, as it stands in a change and in the configuration. Checking it gives its
-// version; both throw BadInput before the node has seen any of it.
+// version, or throws BadInput; only one that was checked is taken.
 std::uint64_t check_list(const JsonValue& list);
 void take_list(Node& node, Time now, const JsonValue& list, bool remembered);
 
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -68,22 +68,21 @@
   const std::lock_guard lock(mutex_);
   Socket released;
   if (idle_ && !next_ && !given_up_) std::swap(released, socket_);
-  given_up_ = true;
-  socket_.shut(SHUT_RDWR);
-  changed_.notify_one();
+  end();
   return released;
 }
 
 void ExecutorConnection::give_up() {
   const std::lock_guard lock(mutex_);
-  given_up_ = true;
-  socket_.shut(SHUT_RDWR);
-  changed_.notify_one();
+  end();
 }
 
 void ExecutorConnection::withdraw() {
   const std::lock_guard lock(mutex_);
-  if (writing_) return;
+  if (!writing_) end();
+}
+
+void ExecutorConnection::end() {
   given_up_ = true;
   socket_.shut(SHUT_RDWR);
   changed_.notify_one();
