One order for every end of a client's connection; what is read behind it is not sent on

At fault: close_when_idle shut our reading, and the thread read on and handed in what had come behind that. Now the look at what has come, and the end of our sending, are one step under the connection's mutex; what is read later is dropped while the thread waits for the client's end. The first-byte limit looks before it closes (a thread that began late closed over a whole request), half a request gets 408, 400 or 503. A launch asks whether its client has left before its first byte.

--- a/lab/emulator/dispatchers.cpp
+++ b/lab/emulator/dispatchers.cpp
@@ -100,10 +100,11 @@
   }
   void list_refused() override { node_->roster_refused(now()); }
 
-  void answer(Id client, Answer answer, const ParcelRef&, Time, bool) override {
+  void answer(Id client, Answer answer, const ParcelRef&, Time, After) override {
     emulator_.answer(index_, client, answer);
   }
   void close_client(Id, bool) override {}
+  void end_client(Id, bool) override {}
   void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission, Time) override {
     emulator_.launch(index_, launch, over, std::stoi(address),
                      static_cast<const JobParcel&>(*submission).job);
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -40,15 +40,21 @@
   std::vector<MovedLaunch> launches;
 };
 
+// What becomes of a client's connection after an answer: it stays; it ends once all that has come over it is
+// answered; it ends.
+enum class After { kStay, kClose, kEnd };
 enum class Answer { kSatisfied, kPushedBack, kAborted, kRejected };
 
 class Effects {
  public:
   virtual ~Effects() = default;
-  // The final answer of the submission that the client has open; `last`: the connection ends with it.
-  virtual void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) = 0;
-  // One that is idle. `finishes`: what it has half written may still come, for a short while.
+  // The final answer of the submission that the client has open.
+  virtual void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) = 0;
+  // One that has nothing open. What has come is still handed in; `finishes`: also what is half written, else
+  // that is pushed back.
   virtual void close_client(Id client, bool finishes) = 0;
+  // The same, of one that was told to close and has not: its own end is waited for no longer.
+  virtual void end_client(Id client, bool finishes) = 0;
   // Over the connection that the launch `over` used and left free; 0: over a new one. An `over` is used up.
   virtual void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
                       Time give_up_at) = 0;
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -387,7 +387,7 @@
 bool Node::job_taken_over(Time now, Id client, MovedJob job, std::vector<Id>& launches) {
   now_ = now;
   if (!ids_.insert(job.id).second) {
-    effects_.answer(client, Answer::kRejected, nullptr, 0, true);
+    effects_.answer(client, Answer::kRejected, nullptr, 0, After::kEnd);
     return false;
   }
   ++figures_.taken;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -25,6 +25,10 @@
 // comes last then still has time for a usual job.
 constexpr Time kListenOn = kSecond * 45 / 100;
 constexpr double kServeOn = 0.625;
+// How long a client has to end its side of a connection that is to close.
+constexpr Time kMostClosing = kSecond / 4;
+// Whoever connects has something to hand in, and it is on its way.
+constexpr Time kFirstByte = kSecond * 3 / 10;
 // Where another process may hold the same listening socket this one takes nothing from it before discovery
 // has told the list; discovery may be down, and a new version is to be ready in 6 s.
 constexpr Time kMostListWait = 2 * kSecond;
@@ -116,9 +120,9 @@
   if (found == clients_.end() || found->second.submission >= 0) return;
   if (found->second.refused) {
     turned_away(use_case);
-    return effects_.answer(client, Answer::kPushedBack, nullptr, 0, true);
+    return effects_.answer(client, Answer::kPushedBack, nullptr, 0, After::kEnd);
   }
-  if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, true);
+  if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, After::kEnd);
   ++figures_.taken;
   const int index = new_entry(client, id, use_case, due, std::move(submission));
   policy_.submission_arrived(now, index, use_case, due, hint, width, key, stop_by_);
@@ -169,7 +173,11 @@
   Client& client = clients_.at(entry.client);
   client.submission = -1;
   client.idle_since = now_;
-  effects_.answer(entry.client, answer, result, stay_away, parting_ || answer == Answer::kRejected);
+  // From the last hard limit on nobody is to hand in what the end would find unanswered.
+  const After after = answer == Answer::kRejected || now_ >= stop_by_ ? After::kEnd
+                      : parting_                                      ? After::kClose
+                                                                      : After::kStay;
+  effects_.answer(entry.client, answer, result, stay_away, after);
   withdraw_launches(submission);
   release_if_over(submission);  // one that waited for room has no launch whose end would do it
 }
@@ -213,15 +221,37 @@
   auto longest = clients_.end();
   for (auto client = clients_.begin(); client != clients_.end(); ++client)
     if (client->second.submission < 0 && !client->second.closing && client->second.idle_since < now_ &&
+        !(finishes() && !client->second.served && now_ - client->second.idle_since < kFirstByte) &&
         (longest == clients_.end() || std::pair(client->second.served, client->second.idle_since) <
                                           std::pair(longest->second.served, longest->second.idle_since)))
       longest = client;
   if (longest == clients_.end()) return false;
   longest->second.closing = true;
-  effects_.close_client(longest->first, parting_);
+  effects_.close_client(longest->first, finishes());
+  closing_.emplace_back(now_ + kMostClosing, longest->first);
   return true;
 }
 
+// What is half written when a connection is to close: at the stop it may still come, up to the last hard
+// limit.
+bool Node::finishes() const {
+  return parting_ && now_ < stop_by_;
+}
+
+// Those that were told to close and have not: a client that does not end its side holds a descriptor. All of
+// them from the last hard limit on, as what they have half written is to be answered before the end.
+void Node::close_again() {
+  for (std::size_t n = closing_.size(); n > 0; --n) {
+    const auto [due, client] = closing_.front();
+    if (due > now_ && now_ < stop_by_) return;
+    closing_.pop_front();
+    const auto found = clients_.find(client);
+    if (found == clients_.end()) continue;
+    if (found->second.submission < 0) effects_.end_client(client, finishes());
+    closing_.emplace_back(now_ + kMostClosing, client);
+  }
+}
+
 bool Node::close_longest_free_link() {
   int longest = -1;
   for (std::size_t i = 0; i < places_.size(); ++i)
@@ -473,6 +503,7 @@
 }
 
 void Node::tick(Time now) {
+  now_ = now;
   for (std::size_t i = 0; i < places_.size(); ++i)
     for (auto link = places_[i].free.begin(); link != places_[i].free.end();)
       link = now - link->since >= link_idle_ || !effects_.still_open(link->launch)
@@ -482,6 +513,7 @@
   // limit on also while the listener still finds no quiet: nobody is to hand in what the end would find
   // unanswered.
   if (closing_idle_ && (listener_closed_ || now >= stop_by_)) close_idle_clients();
+  close_again();
   if (platform_.console > 0) publish(now);
   effects_.wake_at(now + kTick, kTickToken);
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -145,6 +145,8 @@
   std::deque<FreeLink>::iterator close_free_link(int executor, std::deque<FreeLink>::iterator link);
   bool close_longest_free_link();
   bool close_longest_idle_client();
+  bool finishes() const;
+  void close_again();
   void make_room(Id newest);
   void keep_to_descriptors();
   static int usable(Platform platform);
@@ -167,6 +169,7 @@
   int most_descriptors_;
   Time link_idle_;
   std::map<Id, Client> clients_;
+  std::deque<std::pair<Time, Id>> closing_;  // when it is asked again to, in order
   std::map<Id, Running> running_;
   std::unordered_map<std::string, int> executor_indices_;
   std::vector<Place> places_;  // by executor
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -4,7 +4,6 @@
 
 #include <cerrno>
 #include <cstring>
-#include <ctime>
 #include <utility>
 
 #include "http/writer.h"
@@ -97,11 +96,58 @@
   socket_.limit_sending(kMostSending);
 }
 
-void ClientConnection::answer(int status, std::string_view extra, const ParcelRef& result, bool last,
-                              Writers& writers) {
+// --- How a connection ends ---
+//
+// One order for all: what has come is looked at under the mutex, then our side ends (end_sending), and from
+// then on nothing that is read is handed in: its client saw the end and hands it in again elsewhere. What
+// came behind our end of reading used to be sent on, and its client had gone to another node. The thread
+// reads on without keeping it, until the client's end or for a short while (linger), as a close over unread
+// bytes is a reset that takes along what the client has not read yet. Where the descriptor is needed at once
+// it does not wait: nothing is unanswered there.
+
+// Whether anything has come that is not part of what is being served. Under the mutex, between submissions or
+// while one is open.
+bool ClientConnection::at_hand() const {
+  char byte;
+  return !carry_.empty() || socket_.read(&byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void ClientConnection::end_sending(Reason why) {
+  if (phase_ == Phase::kMoved) return;
+  socket_.shut(SHUT_WR);
+  phase_ = Phase::kEnded;
+  ended_for_ = why;
+}
+
+void ClientConnection::end_if_resting() {
+  if (phase_ == Phase::kResting && !at_hand()) end_sending(Reason::kIdle);
+}
+
+void ClientConnection::close_when_idle(bool finishes) {
+  const std::lock_guard lock(mutex_);
+  closes_ = true;
+  end_if_resting();
+  if (finishes) return;
+  cut_ = cut_ || phase_ == Phase::kReading;
+  // Its descriptor is needed: the thread is woken, and waits for nothing.
+  if (phase_ == Phase::kReading || phase_ == Phase::kEnded) socket_.shut(SHUT_RD);
+}
+
+void ClientConnection::end_now(bool finishes) {
+  const std::lock_guard lock(mutex_);
+  closes_ = true;
+  end_if_resting();
+  cut_ = cut_ || (phase_ == Phase::kReading && !finishes);
+  if (phase_ == Phase::kEnded) socket_.shut(SHUT_RD);  // the thread still waits for the client's end
+}
+
+void ClientConnection::answer(int status, std::string_view extra, const ParcelRef& result, bool closes,
+                              bool at_once, Writers& writers) {
+  bool last;
   {
     const std::lock_guard lock(mutex_);
-    last = last || !keep_alive_ || reading_shut_;
+    closes_ = closes_ || closes;
+    last = at_once || !keep_alive_ || (closes_ && !at_hand());
   }
   const std::string_view body = result ? static_cast<const Result&>(*result).text : std::string_view();
   std::string head;
@@ -129,33 +175,36 @@
 }
 
 void ClientConnection::answered(bool last) {
-  if (last) socket_.shut(SHUT_WR);
   const std::lock_guard lock(mutex_);
-  open_ = false;
-  last_ = last;
+  if (phase_ != Phase::kOpen) return;
+  // What came behind it has been read: it is the beginning of the next one.
+  phase_ = carry_.empty() ? Phase::kResting : Phase::kReading;
+  if (last)
+    end_sending(Reason::kAnsweredLast);
+  else if (closes_)  // told so since the answer was worded
+    end_if_resting();
   answered_.notify_all();
 }
 
-// What has already come is still read and answered.
-void ClientConnection::close_when_idle(bool finishes) {
-  const std::lock_guard lock(mutex_);
-  reading_shut_ = true;
-  may_finish_ = finishes;
-  socket_.shut(SHUT_RD);
-}
-
-bool ClientConnection::may_finish() {
-  const std::lock_guard lock(mutex_);
-  return may_finish_;
+// Its own thread, woken, then sees it at once.
+std::function<bool()> ClientConnection::left_check() {
+  return [client = weak_from_this()] {
+    const std::shared_ptr<ClientConnection> one = client.lock();
+    if (!one || !one->socket_.left()) return !one;
+    const std::lock_guard lock(one->mutex_);
+    one->answered_.notify_all();
+    return true;
+  };
 }
 
 void ClientConnection::shut() {
-  socket_.shut(SHUT_RDWR);
+  const std::lock_guard lock(mutex_);
+  if (phase_ != Phase::kMoved) socket_.shut(SHUT_RDWR);
 }
 
 void ClientConnection::moved() {
   const std::lock_guard lock(mutex_);
-  moved_ = true;
+  phase_ = Phase::kMoved;
   answered_.notify_all();
 }
 
@@ -165,7 +214,7 @@
   keep_alive_ = keep_alive;
   carry_ = std::move(carry);
   const std::lock_guard lock(mutex_);
-  open_ = open;
+  if (open) phase_ = Phase::kOpen;
 }
 
 // --- The thread's side ---
@@ -175,7 +224,7 @@
   bool open;
   {
     const std::lock_guard lock(mutex_);
-    open = open_;
+    open = phase_ == Phase::kOpen;
   }
   if (!open || await_answer(reason))
     while (serve_one(reason)) {
@@ -201,17 +250,25 @@
 bool ClientConnection::move_idle(Reason& reason) {
   Socket socket = socket_.duplicate();
   const std::lock_guard lock(mutex_);
-  if (reading_shut_ || !socket.open()) return false;
+  if (closes_ || phase_ != Phase::kResting || !socket.open()) return false;
+  phase_ = Phase::kMoved;
   world_.heir->client_moves(std::move(socket), fresh_, now() - opened_);
   reason = Reason::kMoved;
   return true;
 }
 
-bool ClientConnection::serve_one(Reason& reason) {
+// It has said nothing for too long: unless it has by now.
+bool ClientConnection::silent_end() {
+  const std::lock_guard lock(mutex_);
+  if (phase_ == Phase::kResting && at_hand()) return false;
+  end_sending(Reason::kSilent);
+  return true;
+}
+
+// Leaves it where it is: what is not read yet may still be left to the client.
+bool ClientConnection::wait_for_first_byte(Reason& reason) {
   char first;
-  bool stays = false;
-  while (carry_.empty()) {
-    if (fresh_ && now() >= opened_ + kMostSilence) return reason = Reason::kSilent, false;
+  for (bool stays = false;;) {
     const Time until = fresh_ ? opened_ + kMostSilence : now() + kIdleLookUp;
     if (!stays && world_.parting.told_before(socket_, by_clock(until))) {
       if (move_idle(reason)) return false;
@@ -219,12 +276,33 @@
     }
     wait_until(until);
     const long n = socket_.read(&first, 1, stays ? MSG_PEEK : peeking());
-    if (n > 0) break;
-    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) continue;
+    if (n > 0) return true;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      // Looked at first: the thread may have begun late, and a whole submission be there.
+      if (!fresh_ || now() < until || !silent_end()) continue;
+      lingers_ = true;
+      reason = Reason::kSilent;
+      return false;
+    }
     const std::lock_guard lock(mutex_);
-    reason = reading_shut_ ? Reason::kIdle : n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+    reason = phase_ == Phase::kEnded ? ended_for_ : n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
     return false;
   }
+}
+
+bool ClientConnection::begin_reading(Reason& reason) {
+  const std::lock_guard lock(mutex_);
+  if (phase_ == Phase::kEnded) {
+    lingers_ = true;
+    reason = ended_for_;
+    return false;
+  }
+  phase_ = Phase::kReading;
+  return true;
+}
+
+bool ClientConnection::serve_one(Reason& reason) {
+  if ((carry_.empty() && !wait_for_first_byte(reason)) || !begin_reading(reason)) return false;
   auto submission = std::make_shared<Submitted>();
   submission->buffer = world_.submissions.take();
   if (!submission->buffer) {
@@ -240,29 +318,31 @@
 }
 
 bool ClientConnection::read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason) {
-  // Where the node is to stop as the submission is half written the rest has this long to come. Our own end
-  // of reading lets through what comes, but no read waits for it.
-  constexpr Time kMostRest = kSecond * 3 / 10;
-  constexpr timespec kPause{0, 5000000};
+  // How often it is looked whether what is half written is to be cut.
+  constexpr Time kLook = kSecond / 20;
   for (;;) {
-    wait_until(until);
+    wait_until(std::min(until, now() + kLook));
     const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
     if (n > 0) {
       size += static_cast<std::size_t>(n);
       return true;
     }
-    bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    if (n == 0 && may_finish() && !socket_.left()) {
-      until = std::min(until, now() + kMostRest);
-      ::nanosleep(&kPause, nullptr);
-      waiting = true;
+    const int error = errno;
+    if (was_cut()) return reject(503, Reason::kIdle, reason);
+    if (n == 0) return reject(400, Reason::kPeerClosed, reason);  // only its sending may have ended
+    if (error != EAGAIN && error != EWOULDBLOCK) {
+      reason = Reason::kPeerBroke;
+      return false;
     }
-    if (waiting && now() < until) continue;
-    reason = waiting ? Reason::kSilent : n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
-    return false;
+    if (now() >= until) return reject(408, Reason::kSilent, reason);
   }
 }
 
+bool ClientConnection::was_cut() {
+  const std::lock_guard lock(mutex_);
+  return cut_;
+}
+
 bool ClientConnection::read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried,
                                        Reason& reason) {
   Submitted& s = *submission;
@@ -314,9 +394,7 @@
     http::Writer writer(out);
     // Whoever only asks and stays holds a thread and a descriptor for nothing.
     writer.answer(200).field("Connection", "close").body("");
-    lingers_ = !carry_.empty();
-    reason = socket_.write(out, {}) ? Reason::kAnsweredLast : Reason::kSendFailed;
-    return false;
+    return answer_last(out, Reason::kAnsweredLast, reason);
   }
   if (head.method != "POST") return reject(405, Reason::kBadMessage, reason);
   const std::string_view first = path.substr(1, std::min(path.find('/', 1), path.size()) - 1);
@@ -331,10 +409,8 @@
   const std::size_t last = path.rfind('/');
   const std::uint64_t key = last > 0 && last + 1 < path.size() ? hash_of(path.substr(last + 1)) : 0;
   const int width = std::max(1, static_cast<int>(std::min(fact(head.field("X-Facts"), "slots", 1), 1e6)));
-  {
-    const std::lock_guard lock(mutex_);
-    open_ = true;
-  }
+  if (!open_submission()) return reject(503, Reason::kIdle, reason);
+  submission->client_left = left_check();
   std::string name(head.field("X-Correlation-Id"));
   world_.reducer.post([&world = world_, id = id_, name = std::move(name), use_case, due = came + left, width,
                        key, parcel = ParcelRef(std::move(submission))](Time now) {
@@ -343,12 +419,20 @@
   return await_answer(reason);
 }
 
+// From then on it is owed an answer. Not where it was cut meanwhile.
+bool ClientConnection::open_submission() {
+  const std::lock_guard lock(mutex_);
+  if (cut_) return false;
+  phase_ = Phase::kOpen;
+  return true;
+}
+
 // Until its answer, its move, or then. False: the client has left, which no read shows behind bytes that it
-// sent ahead, or after our own end of reading. It was launched, and launched again, all that time.
+// sent ahead. It was launched, and launched again, all that time.
 bool ClientConnection::wait_behind_bytes(std::unique_lock<std::mutex>& lock, Clock::time_point then) {
   // Such a client is to be seen to have left well within 0.3 s.
   constexpr Milliseconds kLook{50};
-  while (open_ && !moved_ && Clock::now() < then) {
+  while (phase_ == Phase::kOpen && Clock::now() < then) {
     if (socket_.left()) return false;
     answered_.wait_for(lock, kLook);
   }
@@ -366,29 +450,28 @@
     if (!stays && carry_.empty() && world_.parting.told_before(socket_, by_clock(now() + kLookUp))) {
       std::unique_lock lock(mutex_);
       left = !wait_behind_bytes(lock, Clock::now() + kMostHandover);
-      stays = open_ && !moved_;
+      stays = phase_ == Phase::kOpen;
     }
     const int flags = stays ? MSG_PEEK : peeking();
     const long n = left ? 0 : carry_.empty() ? socket_.read(&byte, 1, flags) : 1;
     const bool waiting = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     std::unique_lock lock(mutex_);
-    // More bytes, or our own end of reading: the answer comes first.
-    if (!left && (n > 0 || (n == 0 && reading_shut_)))
-      left = !wait_behind_bytes(lock, Clock::time_point::max());
-    if (moved_) {
+    if (!left && n > 0) left = !wait_behind_bytes(lock, Clock::time_point::max());  // the answer comes first
+    const bool open = phase_ == Phase::kOpen;
+    if (phase_ == Phase::kMoved) {
       reason = Reason::kMoved;
       return false;
     }
-    if (!open_ && last_) {
-      reason = Reason::kAnsweredLast;
+    if (phase_ == Phase::kEnded) {
+      reason = ended_for_;
       lingers_ = true;
       return false;
     }
     if (left || (!waiting && n <= 0)) {
-      reason = open_ ? Reason::kLeftWhileOpen : reading_shut_ ? Reason::kIdle : Reason::kPeerClosed;
+      reason = open ? Reason::kLeftWhileOpen : Reason::kPeerClosed;
       return false;
     }
-    if (!open_) return true;
+    if (!open) return true;
   }
 }
 
@@ -411,16 +494,21 @@
 bool ClientConnection::reject(int status, Reason why, Reason& reason) {
   std::string out;
   http::Writer(out).answer(status).field("Connection", "close").body("");
-  socket_.write(out, {});
-  reason = why;
+  return answer_last(out, why, reason);
+}
+
+// Worded here, for what is not handed in.
+bool ClientConnection::answer_last(const std::string& bytes, Reason why, Reason& reason) {
+  reason = socket_.write(bytes, {}) ? why : Reason::kSendFailed;
   lingers_ = true;
+  const std::lock_guard lock(mutex_);
+  end_sending(reason);
   return false;
 }
 
-// Closing with unread bytes would destroy the answer: ends our side and reads on for a short while. The
-// kernel drops the bytes without copying them: 60 MB of them cost others their part of the core.
+// Our side has ended. The kernel drops the bytes without copying them: 60 MB of them cost others their part
+// of the core.
 void ClientConnection::linger() {
-  socket_.shut(SHUT_WR);
   const Time until = now() + kLinger;
   wait_until(until);
   constexpr std::size_t kPart = 1024 * 1024;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -46,8 +47,17 @@
   const std::string& peer() const { return peer_; }
 
   // The reducer's.
-  void answer(int status, std::string_view extra, const ParcelRef& result, bool last, Writers& writers);
+  // `closes`: the connection ends with it, or with the last answer to what has already come behind it.
+  // `at_once`: with it, whatever has come.
+  void answer(int status, std::string_view extra, const ParcelRef& result, bool closes, bool at_once,
+              Writers& writers);
+  // Nothing more is to be handed in over it; what has come is served first. `finishes`: also what is half
+  // written. Else that is pushed back, and the connection given back at once, as its descriptor is needed.
   void close_when_idle(bool finishes);
+  // The same, of one that was told to close and has not: its client's end is waited for no longer.
+  void end_now(bool finishes);
+  // Tells whether the client has left; from any thread, and after the connection.
+  std::function<bool()> left_check();
   void shut();
   // Its submission goes on elsewhere, and it with it.
   void moved();
@@ -59,18 +69,34 @@
   void write_rest(std::string_view rest, bool last);
 
  private:
+  // What the next byte is; changed under the mutex alone.
+  enum class Phase {
+    kResting,  // the first of a submission
+    kReading,  // of one that has begun
+    kOpen,     // behind one that waits for its answer
+    kEnded,    // nobody's: our side has ended, and the client hands it in again elsewhere
+    kMoved     // another process's
+  };
   bool serve_one(Reason& reason);
+  bool wait_for_first_byte(Reason& reason);
+  bool begin_reading(Reason& reason);
+  bool silent_end();
+  bool was_cut();
+  bool at_hand() const;
+  void end_sending(Reason why);
+  void end_if_resting();
   void wait_until(Time then);
-  bool may_finish();
   bool read_more(Submitted& submission, std::size_t& size, Time until, Reason& reason);
   bool read_submission(const std::shared_ptr<Submitted>& submission, std::size_t carried, Reason& reason);
   bool hand_in(std::shared_ptr<Submitted> submission, const Terms& terms, Reason& reason);
+  bool open_submission();
   bool await_answer(Reason& reason);
   bool wait_behind_bytes(std::unique_lock<std::mutex>& lock, Clock::time_point then);
   bool move_idle(Reason& reason);
   Clock::time_point by_clock(Time then) const;
   int peeking() const;
   bool reject(int status, Reason why, Reason& reason);
+  bool answer_last(const std::string& bytes, Reason why, Reason& reason);
   void tell_turned_away();
   void linger();
   void answered(bool last);
@@ -86,7 +112,10 @@
   bool keep_alive_ = true;
   std::mutex mutex_;
   std::condition_variable answered_;
-  bool open_ = false, last_ = false, reading_shut_ = false, may_finish_ = false, moved_ = false;
+  Phase phase_ = Phase::kResting;
+  Reason ended_for_ = Reason::kIdle;
+  bool closes_ = false;  // as soon as nothing that has come is left to be served
+  bool cut_ = false;     // what is half written is pushed back
 };
 
 }  // namespace canvasstage::net
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -144,7 +144,18 @@
   return socket_.read(&byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Asked in the moment before a byte goes out: its own thread looks behind unread bytes every 50 ms only, and
+// the reducer may have much before it.
+bool ExecutorConnection::client_left() const {
+  return work_.submission->client_left && work_.submission->client_left();
+}
+
 bool ExecutorConnection::connect(Ending& ending) {
+  if (client_left()) {
+    ending.outcome = Outcome::kUnsent;
+    ending.reason = Reason::kGivenUp;
+    return false;
+  }
   {
     const std::lock_guard lock(mutex_);
     ending.reused = socket_.open() && !stale();
@@ -173,16 +184,17 @@
   const http::Head& head = work_.submission->head;
   std::string out;
   http::Writer writer(out);
-  const Time left = std::max<Time>(0, work_.give_up_at - now());
+  const Time time_left = std::max<Time>(0, work_.give_up_at - now());
   writer.request(head.method, head.target).field("Host", "backend.local");
   for (const std::string_view name : {"X-Correlation-Id", "Idempotency-Key"})
     if (head.count(name) > 0) writer.field(name, head.field(name));
-  writer.field("X-Time-Left", std::to_string(left / (kSecond / 1000)) + "m")
+  writer.field("X-Time-Left", std::to_string(time_left / (kSecond / 1000)) + "m")
       .field("Content-Length", std::to_string(work_.submission->body.size()))
       .end();
+  const bool left = client_left();
   {
     const std::lock_guard lock(mutex_);
-    if (given_up_ || now() > work_.write_by) {
+    if (left || given_up_ || now() > work_.write_by) {
       ending.outcome = Outcome::kUnsent;
       return false;
     }
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -66,6 +66,7 @@
   bool connect(Ending& ending);
   bool stale() const;
   bool was_given_up();
+  bool client_left() const;
   void end();  // under the lock: its socket is shut, and its thread sees it
   bool write(Ending& ending);
   void read_answer(Ending& ending, std::string_view begun = {});
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -179,6 +179,7 @@
 
   const std::shared_ptr<ClientConnection> client =
       take_client(now, std::move(sockets[0]), false, now, flag(message, "keepAlive"), true, std::move(carry));
+  submission->client_left = client->left_check();
   std::vector<Id> launches;
   const bool taken = world_.node->job_taken_over(now, client->id(), std::move(job), launches);
   for (std::size_t i = 0; taken && i < launches.size(); ++i) {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -113,7 +113,7 @@
 
 // --- Effects ---
 
-void Server::answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) {
+void Server::answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) {
   const auto found = clients_.find(client);
   if (found == clients_.end()) return;
   char extra[64] = "";
@@ -123,7 +123,7 @@
                      : answer == Answer::kPushedBack ? 503
                      : answer == Answer::kRejected   ? 400
                                                      : 502;
-  found->second->answer(status, extra, result, last, writers_);
+  found->second->answer(status, extra, result, after != After::kStay, after == After::kEnd, writers_);
 }
 
 void Server::close_client(Id client, bool finishes) {
@@ -131,6 +131,10 @@
     found->second->close_when_idle(finishes);
 }
 
+void Server::end_client(Id client, bool finishes) {
+  if (const auto found = clients_.find(client); found != clients_.end()) found->second->end_now(finishes);
+}
+
 void Server::launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
                     Time give_up_at) {
   std::shared_ptr<ExecutorConnection> link;
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -27,8 +27,9 @@
   // After the reducer has finished: ends every thread.
   void end_threads();
 
-  void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, bool last) override;
+  void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) override;
   void close_client(Id client, bool finishes) override;
+  void end_client(Id client, bool finishes) override;
   void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
               Time give_up_at) override;
   void give_up(Id launch) override;
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -1,6 +1,8 @@
 // What every connection's thread shares with the others: nothing that changes but through locks of its own.
 #pragma once
 
+#include <functional>
+
 #include "core/node.h"
 #include "http/parser.h"
 #include "net/buffer_pool.h"
@@ -36,6 +38,8 @@
   Buffer buffer;
   http::Head head{http::Head::Kind::kRequest};
   std::string_view body;
+  // Whether its client has left, asked in the very moment before a byte of it is sent on; empty: not known.
+  std::function<bool()> client_left;
 };
 
 // The result that an executor gave.
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -100,7 +100,7 @@
   std::vector<Launched> launches;
   std::vector<std::pair<Id, Answer>> answers;
   std::vector<bool> lasts;
-  std::vector<Id> closed, given_up, withdrawn, broken;
+  std::vector<Id> closed, ended, given_up, withdrawn, broken;
   std::vector<std::pair<Time, std::uint64_t>> timers;
   std::vector<std::string> watches;  // their addresses
   std::vector<Time> watched_for;
@@ -115,11 +115,12 @@
   std::string handed_knowledge;
   std::vector<MovedJob> handed_jobs;
   std::vector<Link> handed_links;
-  void answer(Id client, Answer answer, const ParcelRef&, Time, bool last) override {
+  void answer(Id client, Answer answer, const ParcelRef&, Time, After after) override {
     answers.emplace_back(client, answer);
-    lasts.push_back(last);
+    lasts.push_back(after != After::kStay);
   }
   void close_client(Id client, bool) override { closed.push_back(client); }
+  void end_client(Id client, bool) override { ended.push_back(client); }
   void launch(Id id, Id over, const std::string& address, const ParcelRef&, Time) override {
     launches.push_back({id, over, address});
   }
