Lab: cost against size, measured at the real node behind effects that count

Cause: the size to design for is 3,200 executors and 64,000 running jobs; a figure at one size says nothing of another, and one play each was all there was. Change: canvasstage-lab scale FILE reads one measurement from TOML, plays each size, fits a line and checks it at a size that the fit hasn't seen.

--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -34,6 +34,8 @@
   double median = 0, least = 0, most = 0;
 };
 
+Cell cell_of(std::vector<double> values);  // at least one
+
 struct Table {
   std::string name, field;
   std::vector<std::string> policies, measures;
--- a/lab/experiment/run.cpp
+++ b/lab/experiment/run.cpp
@@ -16,6 +16,8 @@
   return text;
 }
 
+}  // namespace
+
 Cell cell_of(std::vector<double> values) {
   std::sort(values.begin(), values.end());
   const std::size_t half = values.size() / 2;
@@ -23,8 +25,6 @@
   return {median, values.front(), values.back()};
 }
 
-}  // namespace
-
 const std::vector<Measure>& measures() {
   static const std::vector<Measure> kAll = {
       {"service", "part of the worth", [](const Result& r) { return r.service; }},
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "experiment/experiment.h"
+#include "scale/scale.h"
 
 namespace {
 
@@ -51,6 +52,19 @@
   return table.rules_broken == 0 ? 0 : 3;
 }
 
+int scale(const std::string& file, const std::string& folder, bool quiet) {
+  const Measurement measurement = read_measurement(content_of(file), file);
+  const ScaleTable table = measure(measurement, [&](int size, int play) {
+    if (!quiet) std::cerr << measurement.field << " " << size << " play " << play << '\n';
+  });
+  std::cout << as_text(table);
+  if (folder.empty()) return 0;
+  write_file(folder + "/" + measurement.name + ".txt", as_text(table));
+  write_file(folder + "/" + measurement.name + ".csv", as_csv(table));
+  write_file(folder + "/" + measurement.name + ".svg", as_svg(table));
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -65,9 +79,14 @@
   CLI::App* const checking =
       app.add_subcommand("check", "reads an experiment and says what is wrong with it");
   checking->add_option("experiment", file, "a TOML file")->required();
+  CLI::App* const scaling = app.add_subcommand("scale", "measures cost against size");
+  scaling->add_option("measurement", file, "a TOML file")->required();
+  scaling->add_option("--out", folder, "a folder for the table as text and CSV, and the plot");
+  scaling->add_flag("--quiet", quiet, "no word of progress");
   CLI11_PARSE(app, argc, argv);
   try {
     if (running->parsed()) return run(file, folder, quiet);
+    if (scaling->parsed()) return scale(file, folder, quiet);
     read_experiment(content_of(file), file);
     std::cout << file << ": sound\n";
   } catch (const std::exception& failure) {
