--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,5 @@
-// The decisions of one node. The ordinary path is TPD (docs/design.md): pick(). Beside it: health (doubted),
-// further launches (further), overload pushback (keep_until, share_room, serve_held), homes and connected
-// ones first (find_homes, find_ready), the cold budget (cold_budget), following the list (follow_list).
+// The decisions of one node. The ordinary path is TPD (docs/design.md): pick(). Beside it: doubted, further,
+// keep_until, share_room, serve_held, find_homes, find_ready, cold_budget, follow_list.
 #include "policy.h"
 
 #include <algorithm>
@@ -26,6 +25,8 @@
 constexpr std::uint64_t kAskToken = 2;   // and that of the next call for the list
 constexpr Time kTick = kSecond / 4;      // often enough to ask for the list again in time
 constexpr int kIndexBits = 24;
+constexpr Time kLookUp = kSecond / 20;  // how soon one that waits is looked at again
+constexpr int kMostInVain = 4;          // of these in it; 8 in 512 executors each are over 1.6 % of a core
 constexpr double kGiveWayChance = 0.8;  // less is not worth a place in a crowd; 0.7 to 0.85 fare alike
 
 }  // namespace
@@ -113,8 +114,8 @@
   return 1 + kPart * seconds(leeway_) / mean_work_ * speed(executor);
 }
 
-// All nodes see the same room in the same late list. Where more is asked for than there is, this node sends
-// no more than its part of it, and what ends gives its place back.
+// All nodes see the same room in one late list: where more is asked for, this one sends no more than its
+// part.
 void Policy::share_room(Time now) {
   constexpr double kCrowded = 1.5;  // 1 and 2 fare alike
   if (!std::exchange(weighed_, false)) return;
@@ -307,20 +308,20 @@
   std::erase_if(contacts, [&](int i) { return !connected(now, executors[i]) && executors[i].open == 0; });
   std::erase_if(newcomers_, [&](int i) { return !cold(now, executors[i]); });
   near_.clear();
-  for (const int i : contacts)
-    if (connected(now, executors[i])) near_.push_back(i);
-  for (const int i : newcomers_)
-    if (!connected(now, executors[i])) near_.push_back(i);
+  for (const std::vector<int>* const some : {&contacts, &newcomers_})
+    for (const int i : *some)
+      if (connected(now, executors[i]) == (some == &contacts)) near_.push_back(i);
   look_through(now, submission, near_, ask_health);
 }
 
 // A look at all of a large fleet costs too much: from a random place in an order of this node's own.
 void Policy::look_through(Time now, const Submission& submission, const std::vector<int>& from,
                           bool ask_health) {
-  constexpr std::size_t kLooks = 64;  // two drawn of 64 are hardly worse than two of all
+  constexpr std::size_t kLooks = 64;       // two drawn of 64 are hardly worse than two of all
+  constexpr std::size_t kMostLooks = 512;  // of three that alone may take it one is met at most looks
   if (from.empty()) return;
   std::size_t at = random_() % from.size();
-  for (std::size_t n = 0; n < from.size() && (n < kLooks || ready_.size() < kLeastReady); ++n) {
+  for (std::size_t n = 0; n < std::min(from.size(), ready_.size() < kLeastReady ? kMostLooks : kLooks); ++n) {
     const int i = from[at];
     at = at + 1 < from.size() ? at + 1 : 0;
     if (ready(now, submission, i, ask_health)) ready_.push_back(i);
@@ -335,7 +336,7 @@
          now >= executor.away_until + (looks || executor.away == 0 ? 0 : kMostAway - executor.away) &&
          now + from_seconds(wait_at(now, executor)) <=
              (tells_held(now, executor) ? std::min(latest_, now + leeway_) : latest_) &&
-         may_launch(now, submission, i) &&
+         may_take(now, submission, executor) &&
          (!ask_health ||
           (std::ranges::find(submission.launches, i, &Launch::executor) == submission.launches.end() &&
            !doubted(now, executor) && (executor.zone < 0 || !zones[executor.zone].left_out)));
@@ -420,7 +421,7 @@
 
 // The one function that picks an executor, for a first launch or a further one; -1: none may be had now.
 int Policy::pick(Time now, const Submission& submission) {
-  if (room_ < 1) return -1;
+  if (room_ < 1 || !may_go(now, submission)) return -1;
   latest_ = std::max(last_start(submission, kGiveWayChance), now + kNoQueue);
   draw_zones(now);
   const std::size_t at_home = find_homes(now, submission);
@@ -471,27 +472,42 @@
   return best;
 }
 
+// For what waits: where so many in turn have found nobody the others hardly would, until room appears or for
+// a look-up. 250 that waited for 3,200 executors took 0.7 of a core, hundreds held a small node all of it.
+int Policy::pick_unless_in_vain(Time now, const Submission& submission) {
+  if (now - vain_since_ >= kLookUp) in_vain_ = 0;
+  if (in_vain_ == 0) vain_since_ = now;
+  const int to = in_vain_ < kMostInVain ? pick(now, submission) : -1;
+  in_vain_ = to >= 0 ? 0 : in_vain_ + 1;
+  return to;
+}
+
 // --- The four rules ---
 
-bool Policy::may_launch(Time now, const Submission& submission, int index) {
-  Executor& executor = executors[index];
+bool Policy::may_go(Time now, const Submission& submission) const {
   if (!submission.open || now >= submission.due) return false;  // rule 1
-  if (static_cast<int>(submission.launches.size()) >= settings_.most_launches) return false;
+  if (static_cast<int>(submission.launches.size()) >= settings_.most_launches || pending(submission))
+    return false;
+  // Rule 2: what may have run goes again only as the use case allows; the first such launch sets the group.
+  const Effect effect = settings_.use_cases[submission.use_case].effect;
+  if (effect == Effect::kSingleUse && first_run(submission) != nullptr) return false;
+  return now + settings_.quantum < window_end(submission);
+}
+
+bool Policy::may_take(Time now, const Submission& submission, Executor& executor) {
   if (executor.standing != Standing::kReady) return false;  // rule 3; the grace is slack, not a target
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   if (use_case.machine_kind >= 0 && executor.kind != use_case.machine_kind) return false;
-  // Rule 2: what may have run goes again only as the use case allows; the first such launch sets the group.
-  if (std::ranges::any_of(submission.launches, &Launch::pending)) return false;
-  if (const Launch* const ran = first_run(submission); ran && use_case.effect != Effect::kReplayable) {
-    const Executor& first = executors[ran->executor];
-    if (use_case.effect == Effect::kSingleUse || now + settings_.quantum >= window_end(submission) ||
-        (use_case.group == Group::kZone && first.zone != executor.zone) ||
-        (use_case.group == Group::kCell && first.cell != executor.cell))
-      return false;
-  }
-  // Rule 4: a cold executor gets no more than our share of what it can surely bear.
+  const Launch* const ran = use_case.effect == Effect::kReferenced ? first_run(submission) : nullptr;
+  if (ran != nullptr && use_case.group == Group::kZone && executors[ran->executor].zone != executor.zone)
+    return false;
+  if (ran != nullptr && use_case.group == Group::kCell && executors[ran->executor].cell != executor.cell)
+    return false;
+  // Rule 4: a cold executor gets no more than our share of what it can surely bear. One by the mean of n
+  // costs is n / (n - 1) of the true number on the mean, without end for n = 1; there 4 keeps a node going.
   if (!cold(now, executor)) return true;
-  const double work = cost(submission) * submission.width;
+  const double seen = submission.hint > 0 ? 0 : work_weight_[submission.use_case];
+  const double work = cost(submission) * submission.width * (seen < 1 ? 1 : seen / std::max(0.25, seen - 1));
   double sent = work;
   for (const auto& [when, earlier] : executor.cold_sends)
     if (now - when <= settings_.fall_span) sent += earlier;
@@ -549,8 +565,8 @@
   executors[launch.executor].bad.add(now, kHealthLife, 1);
 }
 
-// Executors of a zone that are not there in turn, with no word from any between, leave the others out too, by
-// a draw for each pick: else over half of all launches went to somebody who was not there.
+// Executors of a zone that in turn are not there leave its others out too, by a draw: half of all went to
+// such.
 constexpr Time kZoneLife = 2 * kSecond;
 
 void Policy::draw_zones(Time now) {
@@ -627,6 +643,7 @@
 
 void Policy::close_launch(Time now, Submission& submission, Launch& launch) {
   launch.pending = false;
+  in_vain_ = 0;
   Executor& executor = executors[launch.executor];
   --executor.open;
   executor.open_cost = executor.open == 0 ? 0 : executor.open_cost - launch.cost;
@@ -638,10 +655,6 @@
   }
 }
 
-bool Policy::pending(const Submission& submission) {
-  return !submission.launches.empty() && submission.launches.back().pending;
-}
-
 void Policy::wake(Time when, int index) {
   host_.wake_at(when, std::uint64_t{submissions[index].serial} << kIndexBits | static_cast<unsigned>(index));
 }
@@ -701,8 +714,7 @@
   return settings_.use_cases[submission.use_case].billing_value / (cost(submission) * submission.width);
 }
 
-// Until when a submission that has not begun is kept: while its chance to be in time, times its value per
-// work, is worth the room to the usual one here.
+// While its chance to be in time, times its value per work, is worth the room to the usual submission here.
 Time Policy::keep_until(Time now, const Submission& submission) {
   const UseCase& use_case = settings_.use_cases[submission.use_case];
   const Time limit = submission.due - 2 * settings_.quantum;
@@ -745,17 +757,11 @@
     order.emplace_back(-value_per_work(submission) * part, index);
   }
   std::ranges::stable_sort(order, {}, &std::pair<double, int>::first);
-  // Where so many in turn find nobody the others hardly would; hundreds held took a small node all its CPU.
-  constexpr int kMostInVain = 8;
-  int in_vain = 0;
-  for (const auto& [key, index] : order) {
-    const int to = pick(now, submissions[index]);
-    if (to < 0 && ++in_vain == kMostInVain) return;
-    if (to < 0) continue;
-    in_vain = 0;
-    let_go(index);
-    send(now, index, to);
-  }
+  for (const auto& [key, index] : order)
+    if (const int to = pick_unless_in_vain(now, submissions[index]); to >= 0) {
+      let_go(index);
+      send(now, index, to);
+    }
 }
 
 void Policy::let_go(int index) {
@@ -865,7 +871,9 @@
   }
   if (stuck) seek_elsewhere(now, index, silent);
   // One that nobody has, or that fell silent as it ran, is looked at again soon where nobody else may be had.
-  if (stuck && (silent || begun) && !launch->cancelled) next = std::min(next, now + kSecond / 20);
+  if (stuck && (silent || begun) && !launch->cancelled)
+    next = std::min(
+        next, now + from_seconds(seconds(kLookUp) * (in_vain_ < kMostInVain ? 1 : 1 + uniform(random_))));
   if (next < submission.due) wake(next, index);
 }
 
@@ -878,7 +886,7 @@
       (overloaded(now) || now < last_start(submission, kNearlyEaten) || submission.launches.size() > 1))
     return;
   launch.pending = false;
-  const bool elsewhere = pick(now, submission) >= 0;
+  const bool elsewhere = pick_unless_in_vain(now, submission) >= 0;
   launch.pending = true;
   if (elsewhere) cancel_pending(index);
 }
@@ -906,6 +914,7 @@
   Executor& executor = executors[launch.executor];
   word_from(executor);
   --executor.unstarted;
+  in_vain_ = 0;
   count_running(executor, submission);
   start_wait_.add(now, kHealthLife, seconds(now - launch.sent));
   starts_.add(now, kHealthLife, 1);
@@ -915,10 +924,6 @@
   serve_held(now);
 }
 
-void Policy::launch_progressed(Time now, int index, int number, double) {
-  submissions[index].launches[number].heard = now;
-}
-
 // The slots that were free at once are there; a report is noisy, so a part of one does not count.
 void Policy::take_load(const Executor& executor, const Load* load) {
   constexpr double kMost = 1e4;
@@ -987,11 +992,9 @@
     default:  // cancelled, unsent, or a connection that may have died any time since it was used last
       break;
   }
-  if (settled) {
-    submission.open = false;
-    let_go(index);
-  }
+  if (settled) submission.open = false;
   if (!submission.open) {
+    let_go(index);
     cancel_pending(index);
   } else if (now >= submission.due - settings_.quantum) {
     end(now, index, true);
@@ -1005,10 +1008,6 @@
   serve_held(now);
 }
 
-void Policy::connection_closed(int index) {
-  executors[index].connections = std::max(0, executors[index].connections - 1);
-}
-
 void Policy::client_left(Time, int index) {
   submissions[index].open = false;
   let_go(index);
--- a/src/policy.h
+++ b/src/policy.h
@@ -2,6 +2,7 @@
 // goes out through Host. Depends on the standard library alone.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -165,10 +166,14 @@
                           std::uint64_t key = 0, Time stop_by = kNever);
   void launch_taken(Time now, int submission, int launch);
   void launch_started(Time now, int submission, int launch);
-  void launch_progressed(Time now, int submission, int launch, double share_done);
+  void launch_progressed(Time now, int submission, int launch, double) {
+    submissions[submission].launches[launch].heard = now;
+  }
   void launch_ended(Time now, int submission, int launch, Outcome outcome, Time latency, bool settled,
                     const Load* load);
-  void connection_closed(int executor);  // one that no launch was using
+  void connection_closed(int executor) {  // one that no launch was using
+    executors[executor].connections = std::max(0, executors[executor].connections - 1);
+  }
   void client_left(Time now, int submission);
   void hurry(Time now, int submission, Time due);  // its hard limit comes earlier: the node is to stop
   // Use cases keep their indices; further ones come behind them.
@@ -193,7 +198,9 @@
   double opening(Time now, const Submission& submission);
   static int choices(const std::vector<double>& chances);
   int pick(Time now, const Submission& submission);
-  bool may_launch(Time now, const Submission& submission, int executor);
+  bool may_launch(Time now, const Submission& submission, int executor) {
+    return may_go(now, submission) && may_take(now, submission, executors[executor]);
+  }
   bool may_push_back(const Submission& submission) const;
   // Of a referenced submission, as it was first sent: from then on no further launch may arrive. kNever:
   // none.
@@ -240,7 +247,13 @@
   void blame(Time now, Launch& launch);
   void nobody_there(Time now, Executor& executor);
   double mean_leeway(const Submission& submission) const;
-  static bool pending(const Submission& submission);
+  static bool pending(const Submission& submission) {
+    return !submission.launches.empty() && submission.launches.back().pending;
+  }
+  // Whether no rule forbids it to all executors alike; else nobody is looked for.
+  bool may_go(Time now, const Submission& submission) const;
+  bool may_take(Time now, const Submission& submission, Executor& executor);
+  int pick_unless_in_vain(Time now, const Submission& submission);
   static const Launch* first_run(const Submission& submission);  // the first that may have run
   Time progress_patience() const;
   Time wait_life() const;
@@ -289,6 +302,8 @@
   std::uint64_t list_ = 0;  // counts the lists, to tell who is absent from a whole one
   bool subscribed_ = false;
   Time overload_seen_ = -kNever;
+  Time vain_since_ = -kNever;  // since then so many in turn have looked for an executor and found none
+  int in_vain_ = 0;
   static constexpr Time kSilent = -1;  // in place of a pause: the last call or subscription fell silent
   Time next_ask_ = 0, ask_pause_ = 0;
   std::uint32_t serial_ = 0;
