Lab: what all nodes together send a cold executor is counted against N + 2 sqrt(N) + 2

Cause: the check for rule 4 was by the true work and 1.25 times the bound; the operators' term counts requests of mean work against N + 2 sqrt(N) + 2 in any fall_span, and uneven traffic and executors that tell of no starts could not be played. The old check stays as it was.

--- a/lab/emulator/dispatchers.cpp
+++ b/lab/emulator/dispatchers.cpp
@@ -13,7 +13,7 @@
   std::shared_ptr<const Job> job;
 };
 
-Settings settings_of(const Scenario& scenario, int zone) {
+Settings settings_of(const Scenario& scenario, int zone, int replicas) {
   Settings s;
   for (const WorkClass& one : scenario.classes) {
     UseCase u;
@@ -27,7 +27,7 @@
     s.use_cases.push_back(u);
   }
   s.zone = zone;
-  s.replicas = scenario.nodes;
+  s.replicas = replicas;
   s.ask_for_roster = true;
   s.ask_within = static_cast<Time>(scenario.ask_within * kSecond);
   s.quantum = 20;
@@ -35,7 +35,7 @@
   s.connection_price = scenario.connection_price;
   s.most_launches = scenario.most_launches;
   s.cancelling = scenario.cancelling;
-  s.tells_start = true;
+  s.tells_start = scenario.tells_start;
   s.cold_from = scenario.cold_from;
   s.warm_up = static_cast<Time>(scenario.warm_span * kSecond);
   s.fall_multiple = scenario.fall_multiple;
@@ -61,14 +61,14 @@
 
 class NodeDispatcher final : public Dispatcher, public Effects {
  public:
-  NodeDispatcher(Emulator& emulator, int index)
+  NodeDispatcher(Emulator& emulator, int index, int replicas)
       : emulator_(emulator), index_(index), chance_(emulator.chance_of(index)) {
     const Scenario& scenario = emulator.scenario();
     // Some day or other; where clocks are apart each node has its own.
     constexpr Time kToday = 1000000 * kSecond;
     start_ = kToday + static_cast<Time>(scenario.clocks_apart * chance_.uniform() * kSecond);
-    node_ = std::make_unique<Node>(settings_of(scenario, emulator.zone_of_node(index)), terms_of(scenario),
-                                   Platform{scenario.descriptors, false, 0},
+    node_ = std::make_unique<Node>(settings_of(scenario, emulator.zone_of_node(index), replicas),
+                                   terms_of(scenario), Platform{scenario.descriptors, false, 0},
                                    static_cast<std::uint32_t>(chance_.uniform() * 4294967295.0), *this, now(),
                                    "discovery", 1);
   }
@@ -255,8 +255,13 @@
 }  // namespace
 
 std::unique_ptr<Dispatcher> make_dispatcher(Emulator& emulator, int node) {
-  if (emulator.scenario().policy == "node") return std::make_unique<NodeDispatcher>(emulator, node);
+  const Scenario& scenario = emulator.scenario();
+  if (scenario.policy == "node") return make_node(emulator, node, scenario.nodes);
   return std::make_unique<Baseline>(emulator, node);
 }
 
+std::unique_ptr<Dispatcher> make_node(Emulator& emulator, int node, int replicas) {
+  return std::make_unique<NodeDispatcher>(emulator, node, replicas);
+}
+
 }  // namespace canvasstage::lab
--- a/lab/emulator/emulator.cpp
+++ b/lab/emulator/emulator.cpp
@@ -40,11 +40,7 @@
                                                 : scenario_.speed;
     rules_.executor_is(i, zone_of_executor(i), cell_of_executor(i), executor.speed * scenario_.slots);
   }
-  double sum = 0;
-  for (int i = 0; i < scenario_.nodes; ++i) {
-    sum += 1 + scenario_.node_skew * (2 * speeds.uniform() - 1);
-    weights_.push_back(sum);
-  }
+  share_traffic(speeds);
   for (const WorkClass& one : scenario_.classes) result_.classes.push_back({one.name});
   if (!make) make = make_dispatcher;
   for (int i = 0; i < scenario_.nodes; ++i) nodes_[static_cast<std::size_t>(i)].dispatcher = make(*this, i);
@@ -53,6 +49,24 @@
 
 Emulator::~Emulator() = default;
 
+// Which node gets how much; at least one gets something.
+void Emulator::share_traffic(Chance& chance) {
+  std::vector<double> parts;
+  for (int i = 0; i < scenario_.nodes; ++i) {
+    parts.push_back(1 + scenario_.node_skew * (2 * chance.uniform() - 1));
+    if (scenario_.node_spread > 0) parts.back() *= chance.lognormal(1, scenario_.node_spread);
+  }
+  const auto idle = static_cast<std::size_t>(scenario_.idle_nodes * scenario_.nodes);
+  std::vector<std::size_t> order(parts.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  for (std::size_t i = 0; i < idle; ++i) {
+    std::swap(order[i], order[i + chance.below(order.size() - i)]);
+    parts[order[i]] = 0;
+  }
+  weights_.resize(parts.size());
+  std::partial_sum(parts.begin(), parts.end(), weights_.begin());
+}
+
 Chance Emulator::chance_of(int node) const {
   return Chance(seed_, kNode, static_cast<std::uint64_t>(node));
 }
@@ -94,6 +108,7 @@
   result_.most_over_mean = samples_ > 0 ? over_mean_sum_ / static_cast<double>(samples_) : 0;
   for (std::size_t i = 0; i < kRules; ++i) result_.broken[i] = rules_.broken(static_cast<Rule>(i));
   result_.broken_words = rules_.first_words();
+  result_.cold = rules_.cold();
   return result_;
 }
 
@@ -257,9 +272,10 @@
     attempt->rated = events_.now();
     executor.used += attempt->job->width;
     executor.running.push_back(attempt);
-    tell(attempt, [this, attempt] {
-      nodes_[static_cast<std::size_t>(attempt->node)].dispatcher->started(attempt->launch);
-    });
+    if (scenario_.tells_start)
+      tell(attempt, [this, attempt] {
+        nodes_[static_cast<std::size_t>(attempt->node)].dispatcher->started(attempt->launch);
+      });
     // A message that was lost may have taken it away again.
     if (attempt->running) schedule_end(index, attempt);
   }
@@ -670,6 +686,9 @@
   add(std::snprintf(line, sizeof line,
                     "at the executors %.6f, by Little's law %.6f; stay %.6f s, most %.4f times the mean\n",
                     there, rate_by_stay, stay, most_over_mean));
+  add(std::snprintf(line, sizeof line, "cold %llu, fallen %llu, highest %.6f of the limit, use %.6f\n",
+                    static_cast<unsigned long long>(cold.executors),
+                    static_cast<unsigned long long>(cold.fallen), cold.highest, cold.use));
   add(std::snprintf(line, sizeof line, "rules broken: %llu answers, %llu repeats, %llu drains, %llu cold\n",
                     static_cast<unsigned long long>(broken[0]), static_cast<unsigned long long>(broken[1]),
                     static_cast<unsigned long long>(broken[2]), static_cast<unsigned long long>(broken[3])));
--- a/lab/emulator/emulator.h
+++ b/lab/emulator/emulator.h
@@ -57,6 +57,7 @@
   // At the executors: mean number there, arrival rate times mean stay, and mean stay of what ended there.
   double there = 0, rate_by_stay = 0, stay = 0;
   double most_over_mean = 0;  // of the work at one executor, sampled
+  ColdCount cold;
   std::uint64_t broken[kRules] = {};
   std::vector<std::string> broken_words;
   std::uint64_t rules_broken() const { return broken[0] + broken[1] + broken[2] + broken[3]; }
@@ -155,6 +156,7 @@
   void list(int executor, Standing standing);
   void send_list(int node, std::uint64_t call);
   // Clients.
+  void share_traffic(Chance& chance);
   void next_arrival();
   void submit(std::uint64_t request);
   void settle(std::uint64_t request, Answer answer);
@@ -193,5 +195,7 @@
 
 // The dispatcher that a scenario names.
 std::unique_ptr<Dispatcher> make_dispatcher(Emulator& emulator, int node);
+// The real node, told that there are so many.
+std::unique_ptr<Dispatcher> make_node(Emulator& emulator, int node, int replicas);
 
 }  // namespace canvasstage::lab
--- a/lab/emulator/rules.cpp
+++ b/lab/emulator/rules.cpp
@@ -1,6 +1,7 @@
 #include "emulator/rules.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace canvasstage::lab {
 namespace {
@@ -29,7 +30,10 @@
 
 void Rules::executor_started(int executor, Micros now) {
   Executor& one = executors_[static_cast<std::size_t>(executor)];
+  end_of_cold(one, now);
   one.started = now;
+  one.requests.clear();
+  one.in_span = one.in_all = one.highest = 0;
   one.cold.clear();
   one.cold_sum = 0;
 }
@@ -58,6 +62,7 @@
   check_repeat(found->second, executor, now);
   found->second.sent.push_back({launch, executor, now});
   check_cold(executors_[static_cast<std::size_t>(executor)], executor, work, now);
+  count_cold(executors_[static_cast<std::size_t>(executor)], found->second.use_case, now);
 }
 
 void Rules::check_repeat(const Job& job, int executor, Micros now) {
@@ -93,6 +98,41 @@
     breaks(Rule::kCold, now, "executor " + std::to_string(index) + " was sent more than it bears while cold");
 }
 
+// Requests of mean work that the settings allow in one span at this part of the full capacity.
+double Rules::allowed(const Executor& executor, double part) const {
+  return scenario_.fall_multiple * executor.capacity * part * scenario_.fall_span / scenario_.mean_work();
+}
+
+void Rules::count_cold(Executor& executor, int use_case, Micros now) {
+  if (executor.started < 0 || scenario_.warm_span <= 0) return;
+  const double age = in_seconds(now - executor.started);
+  if (age > scenario_.warm_span) return;
+  const WorkClass& terms = scenario_.classes[static_cast<std::size_t>(use_case)];
+  const double request = terms.work * terms.width / scenario_.mean_work();
+  while (!executor.requests.empty() && now - executor.requests.front().first > micros(scenario_.fall_span)) {
+    executor.in_span -= executor.requests.front().second;
+    executor.requests.pop_front();
+  }
+  executor.requests.emplace_back(now, request);
+  executor.in_span += request;
+  executor.in_all += request;
+  const double part = scenario_.cold_from + (1 - scenario_.cold_from) * age / scenario_.warm_span;
+  const double n = allowed(executor, part);
+  executor.highest = std::max(executor.highest, executor.in_span / (n + 2 * std::sqrt(n) + 2));
+}
+
+// Its warm-up is over, or its process, or the run.
+void Rules::end_of_cold(Executor& executor, Micros now) {
+  if (executor.started < 0 || scenario_.warm_span <= 0) return;
+  const double until = std::min(in_seconds(now - executor.started), scenario_.warm_span);
+  if (until <= 0) return;
+  const double part = scenario_.cold_from + (1 - scenario_.cold_from) * until / scenario_.warm_span / 2;
+  const double use = executor.in_all * scenario_.fall_span / (allowed(executor, part) * until);
+  if (executor.highest > 1) ++cold_.fallen;
+  cold_.highest = std::max(cold_.highest, executor.highest);
+  cold_.use += (use - cold_.use) / static_cast<double>(++cold_.executors);
+}
+
 void Rules::never_ran(std::uint64_t job, std::uint64_t launch) {
   if (const auto found = jobs_.find(job); found != jobs_.end())
     for (Sent& sent : found->second.sent)
@@ -129,6 +169,7 @@
 }
 
 void Rules::ended(Micros now) {
+  for (Executor& executor : executors_) end_of_cold(executor, std::min(now, micros(scenario_.length)));
   std::uint64_t lost = 0;
   for (const auto& [number, job] : jobs_)
     if (!job.over && now > job.due + kLate) ++lost;
--- a/lab/emulator/rules.h
+++ b/lab/emulator/rules.h
@@ -18,6 +18,14 @@
 enum class Rule { kOneAnswer, kNoRepeat, kDrain, kCold };
 constexpr std::size_t kRules = 4;
 
+// What all nodes together sent to executors that had just started. In requests of mean work: N is what the
+// settings allow for the capacity of the moment in one fall_span, the limit is N + 2 sqrt(N) + 2.
+struct ColdCount {
+  std::uint64_t executors = 0, fallen = 0;  // starts, and those with more than the limit in any span
+  double highest = 0;                       // sent in a span, in limits
+  double use = 0;                           // sent in the whole warm-up by what N allows; mean of the starts
+};
+
 class Rules {
  public:
   explicit Rules(const Scenario& scenario);
@@ -42,6 +50,7 @@
   std::uint64_t broken(Rule rule) const { return counts_[static_cast<std::size_t>(rule)]; }
   std::uint64_t broken() const;
   const std::vector<std::string>& first_words() const { return words_; }
+  const ColdCount& cold() const { return cold_; }
 
  private:
   struct Sent {
@@ -62,10 +71,16 @@
     Micros started = -1;
     std::deque<std::pair<Micros, double>> cold;
     double cold_sum = 0;
+    // In requests of mean work: of the last span, their sum, of the whole warm-up, and the highest in limits.
+    std::deque<std::pair<Micros, double>> requests;
+    double in_span = 0, in_all = 0, highest = 0;
   };
   void breaks(Rule rule, Micros now, const std::string& what);
   void check_repeat(const Job& job, int executor, Micros now);
   void check_cold(Executor& executor, int index, double work, Micros now);
+  void count_cold(Executor& executor, int use_case, Micros now);
+  double allowed(const Executor& executor, double part) const;
+  void end_of_cold(Executor& executor, Micros now);
 
   const Scenario& scenario_;
   std::vector<Executor> executors_;
@@ -73,6 +88,7 @@
   std::unordered_map<std::uint64_t, Micros> not_ready_since_;  // by node and executor
   std::array<std::uint64_t, kRules> counts_{};
   std::vector<std::string> words_;
+  ColdCount cold_;
 };
 
 }  // namespace canvasstage::lab
--- a/lab/emulator/scenario.cpp
+++ b/lab/emulator/scenario.cpp
@@ -44,6 +44,8 @@
   in_range("back_off", back_off, 0, kLongest);
   in_range("leaves", leaves, 0, 1);
   in_range("node_skew", node_skew, 0, 1);
+  in_range("node_spread", node_spread, 0, 10);
+  in_range("idle_nodes", idle_nodes, 0, 0.999);
   in_range("slots", slots, 1, 1e4);
   in_range("queue", queue, 0, 1e9);
   in_range("speed", speed, 1e-6, 1e6);
--- a/lab/emulator/scenario.h
+++ b/lab/emulator/scenario.h
@@ -61,11 +61,14 @@
   double retries = 0, back_off = 0.05;  // after a refusal
   double leaves = 0;                    // this part of the clients goes away before its limit
   double node_skew = 0;                 // of traffic between nodes: 0 alike, 1 up to twice the mean
+  double node_spread = 0;               // the same, log-normal: coefficient of variation
+  double idle_nodes = 0;                // this part of the nodes gets nothing
 
   int slots = 4, queue = 16;
   double speed = 1, speed_spread = 0;     // coefficient of variation, drawn once for each executor
   double cold_from = 0.5, warm_span = 0;  // capacity after a start, and how long it takes to grow to the full
   bool cancels_running = true;
+  bool tells_start = true;  // executors tell a node that its submission has begun
 
   double delay = 0.0002, zone_delay = 0.005, jitter = 0.1;  // one way; jitter is a part of it
   double handshake = 0;                                     // work at the executor for a new connection
--- a/lab/experiment/experiment.h
+++ b/lab/experiment/experiment.h
@@ -22,34 +22,42 @@
   std::string field;           // of the scenario, swept
   std::vector<double> values;  // of it; one and no field: nothing is swept
   std::vector<std::string> policies;
+  std::vector<Scenario> variants;  // of the scenario, by their names; none: the scenario alone
   int seeds = 3;
   std::uint64_t first_seed = 1;
   std::vector<std::string> measures;  // what the table and the plots show
 };
 
+// A line of the table: a policy in a variant of the scenario.
+struct Line {
+  std::string name, policy;
+  Scenario scenario;
+};
+std::vector<Line> lines_of(const Experiment& experiment);
+
 // `file` is named in messages.
 Experiment read_experiment(const std::string& text, const std::string& file);
 
 struct Cell {
-  double median = 0, least = 0, most = 0;
+  double median = 0, least = 0, most = 0;  // the mean in place of the median where the measure's unit says so
 };
 
 struct Table {
   std::string name, field;
-  std::vector<std::string> policies, measures;
+  std::vector<std::string> lines, measures;
   std::vector<double> values;
-  // By measure, policy and value.
+  // By measure, line and value.
   std::vector<std::vector<std::vector<Cell>>> cells;
   std::uint64_t runs = 0, rules_broken = 0;
   std::vector<std::string> broken_words;
 };
 
-using Progress = std::function<void(const std::string& policy, double value, std::uint64_t seed)>;
+using Progress = std::function<void(const std::string& line, double value, std::uint64_t seed)>;
 Table run_experiment(const Experiment& experiment, const Progress& progress = {});
 
 std::string as_text(const Table& table);
 std::string as_csv(const Table& table);
-// One measure against what was swept, a line for each policy, from least to most over the seeds.
+// One measure against what was swept, a line for each of the table's, from least to most over the seeds.
 std::string as_svg(const Table& table, std::size_t measure);
 // Its unit, for an axis; empty: a plain number.
 std::string unit_of(const std::string& measure);
--- a/lab/experiment/fields.h
+++ b/lab/experiment/fields.h
@@ -23,6 +23,8 @@
   visit("back_off", s.back_off);
   visit("leaves", s.leaves);
   visit("node_skew", s.node_skew);
+  visit("node_spread", s.node_spread);
+  visit("idle_nodes", s.idle_nodes);
   visit("slots", s.slots);
   visit("queue", s.queue);
   visit("speed", s.speed);
@@ -30,6 +32,7 @@
   visit("cold_from", s.cold_from);
   visit("warm_span", s.warm_span);
   visit("cancels_running", s.cancels_running);
+  visit("tells_start", s.tells_start);
   visit("delay", s.delay);
   visit("zone_delay", s.zone_delay);
   visit("jitter", s.jitter);
@@ -84,10 +87,11 @@
 struct Measure {
   std::string name, unit;
   double (*of)(const Result&);
+  bool mean = false;  // over the seeds, where a median says little
 };
 const std::vector<Measure>& measures();
 
 // The scenario of one cell of the table; throws BadScenario where the swept field is none.
-Scenario scenario_of(const Experiment& experiment, const std::string& policy, double value);
+Scenario scenario_of(const Experiment& experiment, const Line& line, double value);
 
 }  // namespace canvasstage::lab
--- a/lab/experiment/plot.cpp
+++ b/lab/experiment/plot.cpp
@@ -114,7 +114,7 @@
   std::snprintf(turned, sizeof turned, "text-anchor=\"middle\" transform=\"rotate(-90 16 %.1f)\"",
                 kHeight / 2);
   out += text_at(16, kHeight / 2, table.measures[measure] + (unit.empty() ? "" : " (" + unit + ")"), turned);
-  for (std::size_t p = 0; p < table.policies.size(); ++p) {
+  for (std::size_t p = 0; p < table.lines.size(); ++p) {
     const char* const colour = kColours[p % kColourCount];
     const std::vector<Cell>& cells = table.cells[measure][p];
     std::string points;
@@ -132,7 +132,7 @@
     out += "<polyline fill=\"none\" stroke=\"" + std::string(colour) + "\" points=\"" + points + "\"/>\n";
     const double at = kTop + 16 * static_cast<double>(p);
     out += line_from(kWidth - kRight + 12, at - 4, kWidth - kRight + 30, at - 4, colour, 2);
-    out += text_at(kWidth - kRight + 36, at, table.policies[p]);
+    out += text_at(kWidth - kRight + 36, at, table.lines[p]);
   }
   return out + "</svg>\n";
 }
--- a/lab/experiment/read.cpp
+++ b/lab/experiment/read.cpp
@@ -88,8 +88,8 @@
   const std::string file_;
 };
 
-Scenario read_scenario(const Reader& reader, const toml::table& from) {
-  Scenario scenario;
+// What is left out stays as it is in `scenario`.
+Scenario read_scenario(const Reader& reader, const toml::table& from, Scenario scenario) {
   reader.fields(from, "scenario.", scenario, {"class", "fault"});
   if (const toml::array* const classes = reader.list(from, "class", "scenario.")) {
     scenario.classes.clear();
@@ -110,6 +110,7 @@
     }
   }
   if (const toml::array* const faults = reader.list(from, "fault", "scenario.")) {
+    scenario.faults.clear();
     for (const toml::node& node : *faults) {
       const std::string at = "scenario.fault.";
       if (!node.is_table()) reader.bad("scenario.fault", "tables are needed");
@@ -150,7 +151,8 @@
     throw BadExperiment(file + ": " + at.str() + ": " + std::string(error.description()));
   }
   for (const auto& [key, node] : root)
-    if (const std::string_view name = key.str(); name != "name" && name != "scenario" && name != "sweep")
+    if (const std::string_view name = key.str();
+        name != "name" && name != "scenario" && name != "variant" && name != "sweep")
       reader.bad(std::string(name), "not known");
   Experiment result;
   if (root.get("name") == nullptr) reader.bad("name", "is missing");
@@ -158,7 +160,13 @@
   if (result.name.empty() ||
       result.name.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_") != std::string::npos)
     reader.bad("name", "small letters, digits, - and _ are needed: files are named after it");
-  result.scenario = read_scenario(reader, reader.table(root, "scenario"));
+  result.scenario = read_scenario(reader, reader.table(root, "scenario"), {});
+  if (const toml::array* const variants = reader.list(root, "variant", ""))
+    for (const toml::node& node : *variants) {
+      if (!node.is_table()) reader.bad("variant", "tables are needed");
+      if (node.as_table()->get("name") == nullptr) reader.bad("variant.name", "is missing");
+      result.variants.push_back(read_scenario(reader, *node.as_table(), result.scenario));
+    }
   const toml::table& sweep = reader.table(root, "sweep");
   reader.fields(sweep, "sweep.", result, {"values", "policies", "measures"});
   if (const toml::array* const values = reader.list(sweep, "values", "sweep."))
@@ -181,7 +189,7 @@
     reader.bad("sweep.values", "a field and its values go together");
   if (result.field.empty()) result.values = {0};
   if (result.seeds < 1 ||
-      result.values.size() * result.policies.size() * static_cast<std::size_t>(result.seeds) > kMostRuns)
+      result.values.size() * lines_of(result).size() * static_cast<std::size_t>(result.seeds) > kMostRuns)
     reader.bad("sweep.seeds", "between 1 and " + std::to_string(kMostRuns) + " runs in all are needed");
   // Each scenario that will be run, before any is, and the one that they come from.
   try {
@@ -189,9 +197,9 @@
   } catch (const BadScenario& wrong) {
     throw BadExperiment(file + ": scenario." + wrong.what());
   }
-  for (const std::string& policy : result.policies)
+  for (const Line& line : lines_of(result))
     for (const double value : result.values) try {
-        scenario_of(result, policy, value).check();
+        scenario_of(result, line, value).check();
       } catch (const BadScenario& wrong) {
         throw BadExperiment(file + ": scenario." + wrong.what());
       }
--- a/lab/experiment/run.cpp
+++ b/lab/experiment/run.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <cstdio>
 #include <limits>
+#include <numeric>
 #include <type_traits>
 
 #include "experiment/experiment.h"
@@ -16,11 +17,12 @@
   return text;
 }
 
-Cell cell_of(std::vector<double> values) {
+Cell cell_of(std::vector<double> values, bool mean) {
   std::sort(values.begin(), values.end());
   const std::size_t half = values.size() / 2;
   const double median = values.size() % 2 == 1 ? values[half] : (values[half - 1] + values[half]) / 2;
-  return {median, values.front(), values.back()};
+  const double sum = std::accumulate(values.begin(), values.end(), 0.0);
+  return {mean ? sum / static_cast<double>(values.size()) : median, values.front(), values.back()};
 }
 
 }  // namespace
@@ -36,6 +38,14 @@
       {"connections", "a request", [](const Result& r) { return r.connections_a_request; }},
       {"list_calls", "", [](const Result& r) { return static_cast<double>(r.list_calls); }},
       {"most_over_mean", "", [](const Result& r) { return r.most_over_mean; }},
+      {"cold", "executors that started",
+       [](const Result& r) { return static_cast<double>(r.cold.executors); }},
+      {"cold_fallen", "mean of the runs, executors",
+       [](const Result& r) { return static_cast<double>(r.cold.fallen); }, true},
+      {"cold_runs", "part of the runs with a fall",
+       [](const Result& r) { return r.cold.fallen > 0 ? 1.0 : 0.0; }, true},
+      {"cold_highest", "of the limit", [](const Result& r) { return r.cold.highest; }},
+      {"cold_use", "mean of the runs, of N", [](const Result& r) { return r.cold.use; }, true},
   };
   return kAll;
 }
@@ -46,9 +56,19 @@
   return "";
 }
 
-Scenario scenario_of(const Experiment& experiment, const std::string& policy, double value) {
-  Scenario scenario = experiment.scenario;
-  scenario.policy = policy;
+std::vector<Line> lines_of(const Experiment& experiment) {
+  std::vector<Line> lines;
+  for (const std::string& policy : experiment.policies) {
+    if (experiment.variants.empty()) lines.push_back({policy, policy, experiment.scenario});
+    for (const Scenario& variant : experiment.variants)
+      lines.push_back({(experiment.policies.size() > 1 ? policy + " " : "") + variant.name, policy, variant});
+  }
+  return lines;
+}
+
+Scenario scenario_of(const Experiment& experiment, const Line& line, double value) {
+  Scenario scenario = line.scenario;
+  scenario.policy = line.policy;
   if (experiment.field.empty()) return scenario;
   bool found = false;
   each_field(scenario, [&](const char* name, auto& member) {
@@ -69,37 +89,30 @@
 }
 
 Table run_experiment(const Experiment& experiment, const Progress& progress) {
-  Table table{experiment.name,
-              experiment.field,
-              experiment.policies,
-              experiment.measures,
-              experiment.values,
-              {},
-              0,
-              0,
-              {}};
+  const std::vector<Line> lines = lines_of(experiment);
+  Table table{experiment.name, experiment.field, {}, experiment.measures, experiment.values, {}, 0, 0, {}};
+  for (const Line& line : lines) table.lines.push_back(line.name);
   std::vector<const Measure*> shown;
   for (const std::string& name : experiment.measures)
     for (const Measure& one : measures())
       if (one.name == name) shown.push_back(&one);
-  table.cells.assign(shown.size(),
-                     std::vector(experiment.policies.size(), std::vector<Cell>(experiment.values.size())));
-  for (std::size_t p = 0; p < experiment.policies.size(); ++p)
+  table.cells.assign(shown.size(), std::vector(lines.size(), std::vector<Cell>(experiment.values.size())));
+  for (std::size_t p = 0; p < lines.size(); ++p)
     for (std::size_t v = 0; v < experiment.values.size(); ++v) {
       std::vector<std::vector<double>> seen(shown.size());
       for (int i = 0; i < experiment.seeds; ++i) {
         const std::uint64_t seed = experiment.first_seed + static_cast<std::uint64_t>(i);
-        if (progress) progress(experiment.policies[p], experiment.values[v], seed);
-        Emulator emulator(scenario_of(experiment, experiment.policies[p], experiment.values[v]), seed);
+        if (progress) progress(lines[p].name, experiment.values[v], seed);
+        Emulator emulator(scenario_of(experiment, lines[p], experiment.values[v]), seed);
         const Result result = emulator.run();
         ++table.runs;
         table.rules_broken += result.rules_broken();
         for (const std::string& words : result.broken_words)
-          if (table.broken_words.size() < 20)
-            table.broken_words.push_back(experiment.policies[p] + ": " + words);
+          if (table.broken_words.size() < 20) table.broken_words.push_back(lines[p].name + ": " + words);
         for (std::size_t m = 0; m < shown.size(); ++m) seen[m].push_back(shown[m]->of(result));
       }
-      for (std::size_t m = 0; m < shown.size(); ++m) table.cells[m][p][v] = cell_of(std::move(seen[m]));
+      for (std::size_t m = 0; m < shown.size(); ++m)
+        table.cells[m][p][v] = cell_of(std::move(seen[m]), shown[m]->mean);
     }
   return table;
 }
@@ -118,8 +131,8 @@
       out += line;
     }
     out += "\n";
-    for (std::size_t p = 0; p < table.policies.size(); ++p) {
-      std::snprintf(line, sizeof line, "%-20s", table.policies[p].c_str());
+    for (std::size_t p = 0; p < table.lines.size(); ++p) {
+      std::snprintf(line, sizeof line, "%-20s", table.lines[p].c_str());
       out += line;
       for (const Cell& cell : table.cells[m][p]) {
         const std::string words =
@@ -140,11 +153,11 @@
       "measure,policy," + (table.field.empty() ? std::string("value") : table.field) + ",median,least,most\n";
   char line[256];
   for (std::size_t m = 0; m < table.measures.size(); ++m)
-    for (std::size_t p = 0; p < table.policies.size(); ++p)
+    for (std::size_t p = 0; p < table.lines.size(); ++p)
       for (std::size_t v = 0; v < table.values.size(); ++v) {
         const Cell& cell = table.cells[m][p][v];
         std::snprintf(line, sizeof line, "%s,%s,%.9g,%.9g,%.9g,%.9g\n", table.measures[m].c_str(),
-                      table.policies[p].c_str(), table.values[v], cell.median, cell.least, cell.most);
+                      table.lines[p].c_str(), table.values[v], cell.median, cell.least, cell.most);
         out += line;
       }
   return out;
--- a/tests/lab_emulator_test.cpp
+++ b/tests/lab_emulator_test.cpp
@@ -317,5 +317,83 @@
   EXPECT_GT(count(run_broken<SendsToWhoeverDrains>(scenario), Rule::kCold), 0u);
 }
 
+// --- What all nodes together send a cold executor ---
+
+TEST(LabCold, TheCountIsExactAtTheLimit) {
+  Scenario scenario;
+  scenario.executors = 1;
+  scenario.warm_span = 10;
+  scenario.cold_from = 0.5;
+  scenario.classes[0].work = 1;
+  Rules rules(scenario);
+  rules.executor_is(0, 0, 0, 4);
+  std::uint64_t job = 0;
+  const auto send = [&](int requests, Micros when) {
+    for (; requests > 0; --requests) {
+      rules.taken(++job, 0, micros(100));
+      rules.launched(job, job, static_cast<int>(job % 30), 0, 1, when);
+    }
+  };
+  const auto start = [&](Micros when) { rules.executor_started(0, when); };
+  start(0);
+  send(17, 0);  // N is 3 x 4 x 0.5 x 1.5 = 9, the limit 9 + 2 x 3 + 2
+  start(micros(10));
+  EXPECT_EQ(rules.cold().fallen, 0u);
+  EXPECT_DOUBLE_EQ(rules.cold().highest, 1);
+  EXPECT_DOUBLE_EQ(rules.cold().use, 17 / (10 / 1.5 * 13.5));  // N grows from 9 to 18
+  send(18, micros(10));
+  start(micros(20));
+  EXPECT_EQ(rules.cold().fallen, 1u);
+  send(10, micros(20));
+  send(10, micros(21.6));  // more than a span apart
+  start(micros(30));
+  EXPECT_EQ(rules.cold().fallen, 1u);
+  send(10, micros(30));
+  send(10, micros(31.4));
+  send(100, micros(40.1));  // it is warm
+  start(micros(50));
+  EXPECT_EQ(rules.cold().fallen, 2u);
+  EXPECT_EQ(rules.cold().executors, 4u);
+}
+
+// Four of forty join as a burst begins.
+Scenario burst_at_cold_ones(int nodes) {
+  Scenario scenario;
+  scenario.nodes = nodes;
+  scenario.executors = 40;
+  scenario.slots = 1;
+  scenario.length = 12;
+  scenario.load = 0.1;
+  scenario.retries = 2;
+  scenario.cold_from = 0.4;
+  scenario.warm_span = 8;
+  scenario.faults = {{Fault::Kind::kCrash, 0, 6, 0.1, 1, -1}, {Fault::Kind::kBurst, 6.8, 4, 0, 20, -1}};
+  return scenario;
+}
+
+TEST(LabCold, ManyNodesTogetherStayUnderTheLimit) {
+  for (const int nodes : {1, 3, 30})
+    for (const bool uneven : {false, true})
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        Scenario scenario = burst_at_cold_ones(nodes);
+        scenario.idle_nodes = uneven ? 0.5 : 0;
+        scenario.node_spread = uneven ? 1 : 0;
+        const Result result = run(scenario, seed);
+        EXPECT_EQ(result.cold.executors, 4u);
+        EXPECT_EQ(result.cold.fallen, 0u) << nodes << " nodes\n" << result.words();
+        EXPECT_GT(result.cold.use, 0.05) << nodes << " nodes\n" << result.words();
+      }
+}
+
+TEST(LabCold, ABudgetThatEachNodeTakesWholeIsFound) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Emulator emulator(burst_at_cold_ones(30), seed,
+                      [](Emulator& with, int node) { return make_node(with, node, 1); });
+    const Result result = emulator.run();
+    EXPECT_EQ(result.cold.fallen, 4u) << result.words();
+    EXPECT_GT(result.cold.highest, 1.5);
+  }
+}
+
 }  // namespace
 }  // namespace canvasstage::lab
--- a/tests/lab_experiment_test.cpp
+++ b/tests/lab_experiment_test.cpp
@@ -81,6 +81,26 @@
   }
 }
 
+TEST(LabExperiment, AVariantIsALineAndChangesOnlyWhatItNames) {
+  const std::string text = kSmall +
+                           "[[variant]]\nname = \"plain\"\n"
+                           "[[variant]]\nname = \"silent\"\ntells_start = false\n";
+  const Experiment experiment = read_experiment(text, "file.toml");
+  const std::vector<Line> lines = lines_of(experiment);
+  ASSERT_EQ(lines.size(), 4u);
+  EXPECT_EQ(lines[0].name, "node plain");
+  EXPECT_EQ(lines[3].name, "random silent");
+  EXPECT_TRUE(lines[0].scenario.tells_start);
+  EXPECT_FALSE(lines[3].scenario.tells_start);
+  EXPECT_EQ(lines[3].scenario.executors, 4);
+  EXPECT_EQ(lines[3].scenario.faults.size(), 1u);
+  EXPECT_EQ(run_experiment(experiment).lines[3], "random silent");
+  EXPECT_NE(wrong_with(kSmall + "[[variant]]\nnodes = 3\n").find("variant.name: is missing"),
+            std::string::npos);
+  EXPECT_NE(wrong_with(kSmall + "[[variant]]\nname = \"x\"\nnodez = 3\n").find("nodez: not known"),
+            std::string::npos);
+}
+
 // Every cut of a sound file is read or refused, and never anything else.
 TEST(LabExperiment, AFileThatIsCutAnywhereIsReadOrRefused) {
   for (std::size_t cut = 0; cut < kSmall.size(); ++cut) {
