Lab: stand-ins for executors, discovery and clients; a real node measured against them

Cause: the size to design for was looked at with a rough script, once. Change: lab/standins (one epoll thread for thousands of executors, discovery with a script of changes, open-loop clients, the node as a child process) and lab/scale/real (one swept parameter, medians, spread, least-squares line, a check size that is not fitted); subcommand scale-real.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -3,11 +3,13 @@
 
 #include <CLI/CLI.hpp>
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include "experiment/experiment.h"
+#include "scale/real.h"
 
 namespace {
 
@@ -51,12 +53,27 @@
   return table.rules_broken == 0 ? 0 : 3;
 }
 
+// A real node among stand-ins; without a program's path the one beside this one.
+int measure_real(const std::string& file, const std::string& folder, std::string program, bool quiet) {
+  const real::Plan plan = real::read_plan(content_of(file), file);
+  if (program.empty())
+    program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "canvasstage";
+  const real::Result result = real::run(plan, program, [&](double size, int play) {
+    if (!quiet) std::cerr << plan.sweep << " " << size << " play " << play + 1 << '\n';
+  });
+  std::cout << real::as_text(result);
+  if (folder.empty()) return 0;
+  write_file(folder + "/" + plan.name + ".txt", real::as_text(result));
+  write_file(folder + "/" + plan.name + ".csv", real::as_csv(result));
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app("canvasstage's laboratory: many nodes in virtual time");
   app.require_subcommand(1);
-  std::string file, folder;
+  std::string file, folder, program;
   bool quiet = false;
   CLI::App* const running = app.add_subcommand("run", "runs an experiment and prints its table");
   running->add_option("experiment", file, "a TOML file")->required();
@@ -65,8 +82,15 @@
   CLI::App* const checking =
       app.add_subcommand("check", "reads an experiment and says what is wrong with it");
   checking->add_option("experiment", file, "a TOML file")->required();
+  CLI::App* const scaling =
+      app.add_subcommand("scale-real", "measures a real node process against stand-ins over sizes");
+  scaling->add_option("measurement", file, "a TOML file")->required();
+  scaling->add_option("--out", folder, "a folder for the figures as text and CSV");
+  scaling->add_option("--program", program, "the node's program; otherwise canvasstage beside this one");
+  scaling->add_flag("--quiet", quiet, "no progress");
   CLI11_PARSE(app, argc, argv);
   try {
+    if (scaling->parsed()) return measure_real(file, folder, program, quiet);
     if (running->parsed()) return run(file, folder, quiet);
     read_experiment(content_of(file), file);
     std::cout << file << ": sound\n";
--- /dev/null
+++ b/lab/standins/executors.h
@@ -0,0 +1,69 @@
+// One thread stands in for thousands of executors: each has a loopback address and a listening socket of its
+// own.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "standins/loop.h"
+
+namespace canvasstage::lab {
+
+constexpr int kMostExecutors = 6400;
+constexpr int kMostOpenJobs = 8000;
+
+// What an executor does with a job instead of running it.
+enum class JobFault {
+  kRefuse,  // 503 with X-Unprocessed: 1
+  kHang,    // reads it and never answers
+  kSilent,  // 200, and nothing behind it
+  kReset,   // breaks the connection with no answer
+  kLate     // runs it, but answers so many seconds later
+};
+
+struct JobFaultRule {
+  JobFault kind = JobFault::kHang;
+  double share = 1;              // of the jobs that come; the same ones in each run
+  double from = 0, until = 1e9;  // seconds since the start of the stand-ins
+  double late = 0;               // seconds, for kLate
+};
+
+class Executors {
+ public:
+  // Binds `count` addresses; throws BadStandin above the bound or where the system has no descriptors left.
+  // run_time: seconds from a job's last byte to done.
+  Executors(Loop& loop, int count, double run_time, std::vector<JobFaultRule> faults = {});
+  const std::vector<std::string>& addresses() const { return addresses_; }
+  void run_time(double seconds) { run_time_ = seconds; }
+  void faults(std::vector<JobFaultRule> rules);
+
+  Traffic traffic;
+  std::uint64_t came = 0, done = 0, faulty = 0, broken = 0;  // jobs; broken: its connection ended before done
+  int open = 0;                                              // jobs that came and have no end yet
+
+ private:
+  struct Connection {
+    StreamRef stream;
+    bool busy = false;
+    std::uint64_t job = 0;
+  };
+  using ConnectionRef = std::shared_ptr<Connection>;
+  void accept_from(std::size_t executor);
+  void read_from(const ConnectionRef& connection);
+  void take(const ConnectionRef& connection, std::string id);
+  void run(const ConnectionRef& connection, const std::string& id, double seconds);
+  void finish(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
+  void end(const ConnectionRef& connection);
+  const JobFaultRule* fault_now();
+  Loop& loop_;
+  double run_time_;
+  LoopTime start_ = LoopClock::now();
+  std::vector<JobFaultRule> faults_;
+  std::vector<double> owed_;  // of each rule: the share of jobs that it has not had yet
+  std::vector<net::Socket> listeners_;
+  std::vector<std::string> addresses_;
+  std::unordered_map<Connection*, ConnectionRef> connections_;
+};
+
+}  // namespace canvasstage::lab
