Stand-ins tell of progress, and silent ones stay silent in the quiet window; trials kept

Cause: executors told of progress once, so that the node held each job to be stuck after 3.1 s and launched it again; what waited was launched again to executors that then ran it. The quiet window was not quiet: one launch for each job (trials/, idle_launches). Change: progress every 2 s as the configuration says, the fault holds through the window, taken but not begun (waiting_as = silent) beside unanswered; jobs are handed in at 400/s to begin with.

--- a/lab/scale/real.h
+++ b/lab/scale/real.h
@@ -18,7 +18,7 @@
 struct Setup {
   double executors = 100;   // in discovery's list
   double open_jobs = 0;     // taken by their executors, which tell of a start and go on running
-  double waiting_jobs = 0;  // read by their executors, which do not answer
+  double waiting_jobs = 0;  // handed in after those, and begun by no executor (waiting_as)
   double rate = 0;          // jobs handed in a second while the node is busy
   double run_time = 0.05;   // seconds, of those
   double list_changes = 0;  // entries that change, a second
@@ -28,7 +28,10 @@
   double use_cases = 1;     // in the configuration; the node knows no tenants, so a tenant stands as one
   double sockets = 1024;    // limits.sockets of the node
   double memory_mb = 192;   // limits.memory_mb of the node
-  std::string semantics = "free";  // of the use cases: free, guarded, single_shot
+  double progress = 2;  // seconds between two words of an executor on a running job; 0: none but the first
+  double agreed_time = 120;         // seconds, of the use cases
+  std::string waiting_as = "hang";  // executors read them and do not answer; silent: take them (200), no more
+  std::string semantics = "free";   // of the use cases: free, guarded, single_shot
 };
 
 struct Plan {
--- a/lab/scale/real_plan.cpp
+++ b/lab/scale/real_plan.cpp
@@ -29,6 +29,8 @@
     {"gone", &Setup::gone, 0, kMostExecutors, true},
     {"reloads", &Setup::reloads, 0, 600, false},
     {"use_cases", &Setup::use_cases, 1, 1000, true},
+    {"progress", &Setup::progress, 0, 60, false},
+    {"agreed_time", &Setup::agreed_time, 0.01, 300, false},
     {"sockets", &Setup::sockets, 64, 16384, true},
     {"memory_mb", &Setup::memory_mb, 16, 4096, true},
 };
@@ -52,6 +54,12 @@
     if (!node.is_string()) bad(field, "a string is needed");
     return *node.value<std::string>();
   }
+  std::string one_of(const toml::node& node, const std::string& field,
+                     std::initializer_list<std::string_view> words) const {
+    const std::string word = text(node, field);
+    if (std::ranges::find(words, word) == words.end()) bad(field, word + " is not known");
+    return word;
+  }
   double number(const toml::node& node, const std::string& field, double least, double most) const {
     if (!node.is_number()) bad(field, "a number is needed");
     const double value = *node.value<double>();
@@ -111,9 +119,11 @@
       const std::string name(key.str()), at = "fixed." + name;
       if (name == plan.sweep) bad(at, "is swept");
       if (name == "semantics") {
-        plan.fixed.semantics = text(node, at);
-        static constexpr std::string_view kWords[] = {"free", "guarded", "single_shot"};
-        if (std::ranges::find(kWords, plan.fixed.semantics) == std::end(kWords)) bad(at, "not known");
+        plan.fixed.semantics = one_of(node, at, {"free", "guarded", "single_shot"});
+        continue;
+      }
+      if (name == "waiting_as") {
+        plan.fixed.waiting_as = one_of(node, at, {"hang", "silent"});
         continue;
       }
       const Field* const field = known(name);
--- a/lab/scale/real_play.cpp
+++ b/lab/scale/real_play.cpp
@@ -14,8 +14,8 @@
 namespace canvasstage::lab::real {
 namespace {
 
-constexpr double kFillRate = 200;      // open jobs handed in, a second
-constexpr double kMostFilling = 20;    // seconds beyond the schedule until all have reached an executor
+constexpr double kFillRate = 400;      // open jobs handed in, a second
+constexpr double kMostFilling = 5;     // seconds beyond the schedule until all have reached an executor
 constexpr double kMostStarting = 20;   // seconds
 constexpr double kSettling = 1;        // seconds between the last event and a window
 constexpr double kLongRun = 3600;      // seconds: longer than any play
@@ -33,7 +33,7 @@
     json.Key("name");
     json.String(("job" + std::to_string(i)).c_str());
     json.Key("agreedTime");
-    json.Double(120);
+    json.Double(setup.agreed_time);
     json.Key("hardLimit");
     json.Double(kTimeLeft);
     json.Key("semantics");
@@ -50,7 +50,8 @@
          R"(,"sockets":)" + std::to_string(static_cast<int>(setup.sockets)) +
          R"(},"settings":{"zones":["a"],"shapes":["m"],"locality":"a","replicasOfMe":1,"quantum":0.002,
 "membershipMode":"ask","caps":{"mostLaunches":5,"connIdle":30,"connectTimeout":0.25,"cancelling":true},
-"domain":{"tellsStart":true,"progress":2},"guarantees":{"askWithin":)" +
+"domain":{"tellsStart":true,"progress":)" +
+         std::to_string(setup.progress) + R"(},"guarantees":{"askWithin":)" +
          std::to_string(10 + version % 2) +
          R"(,"coldFrom":0.3,"warmUp":8,"fallMultiple":3,"overloadFor":1.5,"drainGrace":1.5},"useCases":)" +
          out.GetString() + "}}";
@@ -120,7 +121,9 @@
         executors_(loop_, static_cast<int>(setup.executors), kLongRun),
         discovery_(loop_, executors_.addresses()),
         started_(LoopClock::now()),
-        node_(loop_, program, configuration(setup, discovery_.address(), 0)) {}
+        node_(loop_, program, configuration(setup, discovery_.address(), 0)) {
+    executors_.progress(setup.progress);
+  }
 
   Figures run() {
     come_up();
@@ -152,17 +155,19 @@
 
   void fill(Clients& clients) {
     fill(clients, setup_.open_jobs);
-    executors_.faults({{JobFault::kHang, 1, 0, 1e9, 0}});
+    // Also where they are launched again, which the node may do in the quiet window.
+    if (setup_.waiting_jobs > 0)
+      executors_.faults({{setup_.waiting_as == "hang" ? JobFault::kHang : JobFault::kSilent, 1, 0, 1e9, 0}});
     fill(clients, setup_.waiting_jobs);
-    executors_.faults({});
     loop_.run(kSettling);
   }
 
   void fill(Clients& clients, double jobs) {
-    const int target = executors_.open + static_cast<int>(jobs);
+    const std::uint64_t sent = clients.sent + static_cast<std::uint64_t>(jobs);
     clients.hand_in({kFillRate, static_cast<int>(jobs), kTimeLeft});
     const LoopTime from = LoopClock::now();
-    loop_.run(jobs / kFillRate + kMostFilling, [&] { return executors_.open >= target; });
+    loop_.run(jobs / kFillRate + kMostFilling,
+              [&] { return clients.sent >= sent && executors_.came >= sent; });
     if (jobs > 0) figures_["filled"] = since(from);
     need(jobs == 0 || executors_.open > 0, "no job has reached an executor");
   }
@@ -188,6 +193,7 @@
 
   void busy(Clients& clients) {
     executors_.run_time(setup_.run_time);
+    executors_.faults({});
     const std::uint64_t sent = clients.sent, served = clients.served;
     const int jobs = static_cast<int>(setup_.rate * seconds_);
     clients.took.clear();
--- a/lab/standins/executors.cpp
+++ b/lab/standins/executors.cpp
@@ -130,6 +130,16 @@
   loop_.after(seconds, [this, weak = std::weak_ptr(connection), job = connection->job, id] {
     if (const ConnectionRef one = weak.lock()) finish(one, job, id);
   });
+  if (progress_ > 0 && progress_ < seconds) tell_progress(connection, connection->job, id);
+}
+
+void Executors::tell_progress(const ConnectionRef& connection, std::uint64_t job, const std::string& id) {
+  loop_.after(progress_, [this, weak = std::weak_ptr(connection), job, id] {
+    const ConnectionRef one = weak.lock();
+    if (!one || !one->busy || one->job != job) return;
+    one->stream->send(line(id, R"("state":"running","share":0.1)"));
+    tell_progress(one, job, id);
+  });
 }
 
 void Executors::finish(const ConnectionRef& connection, std::uint64_t job, const std::string& id) {
--- a/lab/standins/executors.h
+++ b/lab/standins/executors.h
@@ -36,6 +36,8 @@
   Executors(Loop& loop, int count, double run_time, std::vector<JobFaultRule> faults = {});
   const std::vector<std::string>& addresses() const { return addresses_; }
   void run_time(double seconds) { run_time_ = seconds; }
+  // Running jobs tell of their progress so often, in seconds; 0: once, at the start.
+  void progress(double seconds) { progress_ = seconds; }
   void faults(std::vector<JobFaultRule> rules);
 
   Traffic traffic;
@@ -53,11 +55,12 @@
   void read_from(const ConnectionRef& connection);
   void take(const ConnectionRef& connection, std::string id);
   void run(const ConnectionRef& connection, const std::string& id, double seconds);
+  void tell_progress(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
   void finish(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
   void end(const ConnectionRef& connection);
   const JobFaultRule* fault_now();
   Loop& loop_;
-  double run_time_;
+  double run_time_, progress_ = 0;
   LoopTime start_ = LoopClock::now();
   std::vector<JobFaultRule> faults_;
   std::vector<double> owed_;  // of each rule: the share of jobs that it has not had yet
--- a/tests/lab_standins_test.cpp
+++ b/tests/lab_standins_test.cpp
@@ -135,6 +135,17 @@
   EXPECT_GE(LoopClock::now() - from, seconds_of(kLate));
 }
 
+TEST_F(LabStandins, ARunningJobTellsOfItsProgressTimeAndAgain) {
+  Executors executors(loop, 1, 0.1);
+  executors.progress(0.03);
+  Caller caller(loop, executors.addresses()[0]);
+  caller.job("a");
+  const std::string lines = content_of(caller.until("0\r\n\r\n"));
+  std::size_t told = 0;
+  for (std::size_t at = 0; (at = lines.find("\"running\"", at)) != std::string::npos; ++at) ++told;
+  EXPECT_GE(told, 2u);
+}
+
 TEST_F(LabStandins, AFaultTakesItsShareOfTheJobsWithinItsTime) {
   Executors executors(loop, 1, 0, {{JobFault::kRefuse, 1, 100, 200}, {JobFault::kRefuse, 0.25}});
   Caller caller(loop, executors.addresses()[0]);
@@ -282,6 +293,8 @@
   EXPECT_EQ(wrong_with("plays = 3", "plays = 3\nspeed = 1"), "file.toml: speed: not known");
   EXPECT_EQ(wrong_with("executors = 10", "speed = 1"), "file.toml: fixed.speed: not known");
   EXPECT_EQ(wrong_with("\"open_jobs\"", "\"speed\""), "file.toml: sweep: speed is not known");
+  EXPECT_EQ(wrong_with("executors = 10", "waiting_as = \"no\""),
+            "file.toml: fixed.waiting_as: no is not known");
   EXPECT_EQ(wrong_with("executors", "open_jobs"), "file.toml: fixed.open_jobs: is swept");
   EXPECT_EQ(wrong_with("executors = 10", "executors = 6401"),
             "file.toml: fixed.executors: out of bounds: 1 to 6400");
