The listener takes clients up to three quarters of the descriptors, the rest is for the others

Seen by reading: accept goes as far ahead of the reducer as clients come; a call to discovery, the console and executors then find no descriptor. Forced by a reducer that stands still: 13 clients were accepted at 16 descriptors, now 12 and the last one when the reducer goes on.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -94,7 +94,7 @@
                                              [&](bool overlap) { share_limits(overlap ? 8 : 16); });
     world.heir = upgrade.get();
   }
-  server = std::make_unique<net::Server>(world, std::move(listener), upgrade.get());
+  server = std::make_unique<net::Server>(world, std::move(listener), upgrade.get(), c.sockets);
   const Time start = net::now();
   const Platform platform{c.sockets, shared, console ? net::Console::kRoom + 1 : 0};
   node = std::make_unique<Node>(c.settings, c.terms, platform, c.seed, *server, start, discovery,
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -132,6 +132,7 @@
 std::shared_ptr<ClientConnection> Server::take_client(Time now, Socket socket, bool fresh, Time opened,
                                                       bool keep_alive, bool open, std::string carry) {
   const Id id = ++last_client_;
+  ++clients_open_;
   std::string peer = socket.peer();
   const auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
   client->go_on(fresh, opened, keep_alive, open, std::move(carry));
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -7,8 +7,13 @@
 
 namespace canvasstage::net {
 
-Server::Server(World& world, Socket listener, Upgrade* upgrade)
-    : world_(world), listener_(std::move(listener)), upgrade_(upgrade) {}
+// Three quarters of the descriptors: the reducer closes what is idle from a half on, but the listener may be
+// far ahead of it, and a call to discovery, the console or an executor is to get one then too.
+Server::Server(World& world, Socket listener, Upgrade* upgrade, int descriptors)
+    : world_(world),
+      listener_(std::move(listener)),
+      upgrade_(upgrade),
+      most_clients_(std::max(1, descriptors / 4 * 3)) {}
 
 void Server::start() {
   log_note("bound to " + listener_.address());
@@ -46,12 +51,13 @@
       if (!listener_.readable_within(kQuiet)) continue;
     }
     std::string peer;
-    if (Socket socket = accept_from(listener_, peer); socket.open()) {
+    const bool full = clients_open_ >= most_clients_;
+    if (Socket socket = full ? Socket() : accept_from(listener_, peer); socket.open()) {
       accept(std::move(socket), std::move(peer));
       came = now();
       continue;
     }
-    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+    if (full || errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
       // Nothing to accept with; the reducer is closing what is idle.
       constexpr timespec kPause{0, 10000000};
       ::nanosleep(&kPause, nullptr);
@@ -77,6 +83,7 @@
 
 void Server::accept(Socket socket, std::string peer) {
   const Id id = ++last_client_;
+  ++clients_open_;
   auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
   world_.reducer.post([this, client](Time now) {
     clients_.emplace(client->id(), client);
@@ -89,6 +96,7 @@
   return [this, client] {
     world_.reducer.post([this, client](Time now) {
       clients_.erase(client);
+      --clients_open_;
       world_.node->client_closed(now, client);
     });
   };
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -21,8 +21,9 @@
 
 class Server final : public Effects {
  public:
-  // `upgrade`: where another process may hold the same listening socket; else null.
-  Server(World& world, Socket listener, Upgrade* upgrade);
+  // `upgrade`: where another process may hold the same listening socket; else null. `descriptors`: the most
+  // that the process may have open.
+  Server(World& world, Socket listener, Upgrade* upgrade, int descriptors);
   void start();
   // After the reducer has finished: ends every thread.
   void end_threads();
@@ -64,6 +65,8 @@
   World& world_;
   Socket listener_;  // the listener thread's
   Upgrade* const upgrade_;
+  const int most_clients_;
+  std::atomic<int> clients_open_{0};  // accepted, and not closed yet
   std::mutex mutex_;
   std::condition_variable changed_;
   bool opened_ = false;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -399,6 +400,11 @@
       dup2(out_[1], 2);
       ::close(out_[0]);
       ::close(out_[1]);
+      // As the platform does; the tests' own descriptors are inherited from here, and counted by number.
+      const rlim_t most = static_cast<rlim_t>(sockets);
+      for (int fd = 3; fd < 1024; ++fd) fcntl(fd, F_SETFD, FD_CLOEXEC);
+      const rlimit limit{most, most};
+      setrlimit(RLIMIT_NOFILE, &limit);
       setenv("NODE_CONFIG", (folder_ + "/config.json").c_str(), 1);
       setenv("NODE_DISCOVERY", discovery.address.c_str(), 1);
       setenv("NODE_CONSOLE", "127.0.0.1:0", 1);
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -8,6 +8,7 @@
 #include "net/client.h"
 #include "net/discovery.h"
 #include "net/executor.h"
+#include "net/server.h"
 
 namespace canvasstage {
 namespace {
@@ -670,6 +671,50 @@
 
 // --- Stop and reload ---
 
+// The reducer stands still: the listener leaves those that come to the system once three quarters are taken.
+TEST(ProgramRaces, TheListenerTakesNoMoreThanTheReducerKeepsUpWith) {
+  Parts parts(1);
+  net::Socket listener = net::listen_on("127.0.0.1:0");
+  const std::string address = listener.address();
+  net::Server server(parts.world, std::move(listener), nullptr, 16);
+  server.start();
+  server.open_listener();
+  std::vector<Peer> clients;
+  for (int i = 0; i < 13; ++i) clients.push_back(Peer::to(address).write("no request\r\n\r\n"));
+  for (int i = 0; i < 12; ++i) EXPECT_TRUE(starts(clients[i].read_to_end(), "HTTP/1.1 400 ")) << i;
+  EXPECT_TRUE(clients[12].silent_for(std::chrono::milliseconds(100)));
+  parts.run_until([&] { return !clients[12].silent_for(std::chrono::milliseconds(1)); });
+  EXPECT_TRUE(starts(clients[12].read_to_end(), "HTTP/1.1 400 "));
+  server.end_threads();
+  EXPECT_TRUE(net::threads_end_within(std::chrono::seconds(2)));
+}
+
+// A crowd that says nothing is accepted faster than the reducer can close it, as discovery is down: the call
+// that finds it back, the console and an executor get a descriptor all the same.
+TEST(ProgramRaces, ACrowdLeavesDescriptorsForTheOthers) {
+  Running run(64);
+  Peer watch = told_only_first(run);
+  Peer client = run.client();
+  client.write(Running::job("lookup", "id1"));
+  run.first.accept().finish_job("ok");
+  EXPECT_TRUE(starts(client.read_message(), "HTTP/1.1 200 "));
+  std::vector<Peer> crowd;
+  run.interrupt([&] {
+    for (int i = 0; i < 300; ++i) crowd.push_back(run.client());
+    watch.close();
+  });
+  Peer again = run.accept_watch(Running::entry("s-1", run.first.address), false);
+  Peer console = Peer::to(run.console);
+  console.write("GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(starts(console.read_message(), "HTTP/1.1 200 "));
+  Peer last = run.client();
+  Peer executor = launched(run, last, "lookup", "id2");
+  executor.finish_job("ok");
+  EXPECT_TRUE(starts(last.read_message(), "HTTP/1.1 200 "));
+  run.stop();
+  EXPECT_FALSE(run.wait_for_log("Too many open files"));  // to the end of its log
+}
+
 // Half written when the node closes what is idle: the rest may still come. Our own end of reading comes
 // first.
 TEST(ProgramRaces, ASubmissionHalfWrittenAtTheStopIsTaken) {
