--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -147,16 +147,16 @@
     subscribed_ = true;
     ask_pause_ = 0;
   } else if (!subscribed_ && !executors.empty()) {
-    ask_again(now, 0, seconds(asking_span()) * uniform(random_));
+    ask_again(now, 0, seconds(asking_span(0)) * uniform(random_));  // nobody is served before
   }
   share_room(now);
   serve_held(now);
 }
 
 // Discovery works through all nodes' calls in turn: of 210 within a second all were answered in 2.6 s.
-Time Policy::asking_span() const {
-  constexpr Time kTurn = kSecond / 100, kLeastPause = kSecond / 2;
-  return std::clamp(settings_.replicas * kTurn, std::min(kLeastPause, longest_pause()), longest_pause());
+Time Policy::asking_span(Time least) const {
+  constexpr Time kTurn = kSecond / 100;
+  return std::clamp(settings_.replicas * kTurn, std::min(least, longest_pause()), longest_pause());
 }
 
 // What happens meanwhile counts as told 6 s after a call has failed: three more fit in (docs/races.md).
@@ -172,7 +172,7 @@
 }
 
 void Policy::roster_refused(Time now) {
-  const Time pause = std::clamp(2 * ask_pause_, asking_span(), longest_pause());
+  const Time pause = std::clamp(2 * ask_pause_, asking_span(kSecond / 2), longest_pause());
   ask_again(now, pause, seconds(pause) * (0.5 + uniform(random_) / 2));
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -233,7 +233,7 @@
   void count_running(Executor& executor, const Submission& submission);
   void follow_list(Time now);
   void ask_again(Time now, Time pause, double spread);
-  Time asking_span() const;
+  Time asking_span(Time least) const;
   Time longest_pause() const;
   void tick(Time now);
   double value_per_work(const Submission& submission) const;
