The listener does not wait for a descriptor once the reducer has finished

Seen: TheListenerTakesNoMoreThanTheReducerKeepsUpWith failed once in 50 runs: the listener waits for the reducer to close somebody, which has finished by then, so the threads do not end.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -58,7 +58,8 @@
       continue;
     }
     if (full || errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-      // Nothing to accept with; the reducer is closing what is idle.
+      // Nothing to accept with; the reducer is closing what is idle, while it runs.
+      if (world_.reducer.finished()) break;
       constexpr timespec kPause{0, 10000000};
       ::nanosleep(&kPause, nullptr);
       continue;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -253,8 +253,8 @@
 }
 
 // Seventy of a hundred nodes were killed together, called together and were refused together, again and
-// again: for 20 s discovery worked through calls that nobody waited for any more. So they are spread evenly over
-// a second and a half, and no longer: what changes meanwhile counts as told 6 s after the failure.
+// again: for 20 s discovery worked through calls that nobody waited for any more. So they are spread evenly
+// over a second and a half, and no longer: what changes meanwhile counts as told 6 s after the failure.
 TEST(List, NodesThatStartOrAreRefusedTogetherDoNotCallTogether) {
   Settings settings = small_settings();
   settings.ask_for_roster = true;
