--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -511,7 +511,6 @@
 }
 
 void Node::tick(Time now) {
-  now_ = now;
   for (std::size_t i = 0; i < places_.size(); ++i)
     for (auto link = places_[i].free.begin(); link != places_[i].free.end();)
       link = now - link->since >= link_idle_ || !effects_.still_open(link->launch)
