Rig of several real nodes with discovery, executors, clients and links as processes

Cause: no test starts several processes and breaks what is between them; a power loss of a whole fleet was measured by a rough script alone. Change: lab/fleet starts real nodes, stand-in processes (canvasstage-standin, told lines over a pipe) and proxies that cut, silence, delay, reset and heal a link; SIGKILL to all is a power loss; effects are counted outside of all processes by Idempotency-Key, zone and window. canvasstage-lab power-loss plays five cases.

--- /dev/null
+++ b/lab/fleet/fleet.cpp
@@ -0,0 +1,265 @@
+#include "fleet/fleet.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <sstream>
+#include <utility>
+
+namespace canvasstage::lab::fleet {
+namespace {
+
+constexpr double kMostStarting = 20;  // seconds until a stand-in is ready
+
+std::int64_t unix_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+// A name of one of several.
+std::string numbered(const char* beginning, int number) {
+  return std::string(beginning).append(std::to_string(number));
+}
+
+// An address of this host that nobody uses now; whoever listens there later is told of it by its number
+// alone.
+std::string free_address(const std::string& host) {
+  return net::listen_on(host + ":0").address();
+}
+
+std::string zone_of(int executor, int executors) {
+  return executor < (executors + 1) / 2 ? "a" : "b";
+}
+
+std::vector<std::string> zones_of(int executors) {
+  std::vector<std::string> zones;
+  for (int i = 0; i < executors; ++i) zones.push_back(zone_of(i, executors));
+  return zones;
+}
+
+}  // namespace
+
+Programs programs_beside() {
+  const std::filesystem::path folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  return {folder / "canvasstage", folder / "canvasstage-standin"};
+}
+
+Fleet::Fleet(FleetPlan plan)
+    : plan_(std::move(plan)),
+      folder_("/tmp/canvasstage-fleet-XXXXXX"),
+      ledger_(zones_of(plan_.executors), plan_.window) {
+  if (mkdtemp(folder_.data()) == nullptr) throw BadStandin("no folder for the fleet");
+  discovery_address_ = free_address("127.41.0.1");
+  for (int i = 0; i < plan_.nodes; ++i) node_addresses_.push_back(free_address(numbered("127.40.0.", 1 + i)));
+  for (int i = 0; i < plan_.executors; ++i)
+    executor_addresses_.push_back(free_address(numbered("127.42.0.", 1 + i)));
+  start_proxies();
+  nodes_.resize(static_cast<std::size_t>(plan_.nodes));
+}
+
+Fleet::~Fleet() {
+  lose_power(Scope::kAll);
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+std::unique_ptr<Fleet::Standin> Fleet::start_standin(std::vector<std::string> arguments,
+                                                     std::function<void(const std::string&)> told) {
+  const std::string role = arguments.front();
+  auto standin = std::make_unique<Standin>();
+  standin->process =
+      std::make_unique<ChildProcess>(loop_, ChildCommand{plan_.programs.standin, std::move(arguments), {}},
+                                     [raw = standin.get(), told = std::move(told)](const std::string& line) {
+                                       constexpr std::string_view kReady = "ready ";
+                                       if (line.starts_with(kReady))
+                                         raw->ready = line.substr(kReady.size());
+                                       else
+                                         told(line);
+                                     });
+  const bool ready =
+      loop_.run(kMostStarting, [&] { return !standin->ready.empty() || standin->process->ended(); });
+  if (!ready || standin->ready.empty()) throw BadStandin(role + ": does not start");
+  return standin;
+}
+
+void Fleet::start_proxies() {
+  std::vector<std::string> arguments = {"proxies"};
+  const auto link = [&](const std::string& host, const std::string& target) {
+    arguments.push_back(host + ":0");
+    arguments.push_back(target);
+  };
+  for (int i = 0; i < plan_.nodes; ++i) link(numbered("127.43.0.", 1 + i), discovery_address_);
+  for (int i = 0; i < plan_.executors && plan_.proxied_executors; ++i)
+    link(numbered("127.44.0.", 1 + i), executor_addresses_[i]);
+  proxies_ = start_standin(std::move(arguments), [this](const std::string&) { ++faults_told_; });
+  std::istringstream words(proxies_->ready);
+  std::string address;
+  while (words >> address)
+    (static_cast<int>(discovery_links_.size()) < plan_.nodes ? discovery_links_ : listed_addresses_)
+        .push_back(address);
+  if (!plan_.proxied_executors) listed_addresses_ = executor_addresses_;
+}
+
+void Fleet::start_discovery(std::uint64_t generation, const std::vector<ListedExecutor>& list) {
+  calls_ = 0;
+  discovery_ = start_standin({"discovery", discovery_address_}, [this](const std::string& line) {
+    constexpr std::string_view kCalls = "calls ";
+    if (!line.starts_with(kCalls)) return;
+    calls_ = std::strtoull(line.c_str() + kCalls.size(), nullptr, 10);
+    calls_told_ = true;
+  });
+  tell_list(generation, list);
+}
+
+void Fleet::start_executors() {
+  std::vector<std::string> arguments = {"executors", "--run-time", std::to_string(plan_.run_time)};
+  arguments.insert(arguments.end(), executor_addresses_.begin(), executor_addresses_.end());
+  executors_ = start_standin(std::move(arguments), [this](const std::string& line) {
+    if (const auto job = decode_begun_job(line)) ledger_.add(*job, LoopClock::now());
+  });
+  listed_.clear();
+  for (int i = 0; i < plan_.executors; ++i) {
+    ListedExecutor one;
+    one.id = numbered("s-", 1 + i);
+    one.address = listed_addresses_[i];
+    one.zone = zone_of(i, plan_.executors);
+    one.cell = i / 2;
+    one.started_ms = unix_ms();
+    listed_.push_back(std::move(one));
+  }
+}
+
+void Fleet::start_clients() {
+  char identity[20];
+  std::snprintf(identity, sizeof identity, "%06llx%02x",
+                static_cast<unsigned long long>(plan_.seed & 0xffffff), ++clients_started_ & 0xff);
+  clients_ = start_standin({"clients", identity}, [this](const std::string& line) {
+    const auto answered = decode_request_answered(line);
+    if (!answered) return;
+    const auto found = open_.find(answered->request);
+    if (found == open_.end()) return;
+    const Answered then = std::move(found->second);
+    open_.erase(found);
+    then(answered->status);
+  });
+}
+
+std::string Fleet::configuration(int node) const {
+  const std::string name = numbered("n", node);
+  std::ostringstream out;
+  out << R"({"name":")" << name << R"(","listen":")" << node_addresses_[node] << R"(","discovery":")"
+      << discovery_links_[node] << R"(","seed":")" << std::hex
+      << plan_.seed * 64 + static_cast<unsigned>(node) << std::dec
+      << R"(","limits":{"memory_mb":192,"sockets":1024},"settings":{"zones":["a","b"],)"
+      << R"("shapes":["m"],"locality":"a","replicasOfMe":)" << plan_.nodes
+      << R"(,"membershipMode":"ask","quantum":0.001,"useCases":[)"
+      << R"({"name":")" << kIdempotentUseCase << R"(","agreedTime":0.25,"hardLimit":5,"semantics":"free"},)"
+      << R"({"name":")" << kKeyedUseCase
+      << R"(","agreedTime":0.5,"hardLimit":10,"semantics":"guarded","group":"zone","window":)" << plan_.window
+      << R"(},{"name":")" << kAtMostOnceUseCase
+      << R"(","agreedTime":0.5,"hardLimit":10,"semantics":"single_shot"}],)"
+      << R"("caps":{"mostLaunches":5,"connIdle":30,"connectTimeout":0.25,"cancelling":true},)"
+      << R"("domain":{"tellsStart":true,"progress":0},)"
+      << R"("guarantees":{"askWithin":10,"drainGrace":)" << kDrainGrace << "}}" << known_ << "}";
+  return out.str();
+}
+
+void Fleet::start_node(int node) {
+  std::vector<std::string> environment;
+  if (plan_.environment) environment = plan_.environment(node);
+  nodes_[node] = std::make_unique<NodeProcess>(loop_, plan_.programs.node, configuration(node), environment);
+}
+
+void Fleet::start_all_nodes() {
+  for (int i = 0; i < plan_.nodes; ++i) start_node(i);
+}
+
+void Fleet::lose_power(Scope scope) {
+  const bool executors_too = scope == Scope::kAll && executors_;
+  for (const auto& node : nodes_)
+    if (node) node->kill();
+  if (executors_too) executors_->process->kill();
+  if (discovery_) discovery_->process->kill();
+  for (auto& node : nodes_) node.reset();
+  discovery_.reset();
+  if (!executors_too) return;
+  // What began before the end is in the pipe.
+  loop_.run(kMostStarting, [&] { return executors_->process->ended(); });
+  executors_.reset();
+}
+
+void Fleet::configure_known(std::uint64_t generation, const std::vector<ListedExecutor>& list) {
+  std::ostringstream out;
+  out << R"(,"known":{"generation":)" << generation << R"(,"reset":true,"instances":[)";
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    const ListedExecutor& one = list[i];
+    out << (i > 0 ? "," : "") << R"({"instanceId":")" << one.id << R"(","hostPort":")" << one.address
+        << R"(","zone":")" << one.zone << R"(","machineType":"m","cell":)" << one.cell << R"(,"lifecycle":")"
+        << one.lifecycle << R"(","weight":1.0,"startedAtMs":)" << one.started_ms << "}";
+  }
+  out << "]}";
+  known_ = out.str();
+}
+
+std::vector<ListedExecutor> Fleet::listed() const {
+  return listed_;
+}
+
+void Fleet::tell_list(std::uint64_t generation, const std::vector<ListedExecutor>& list) {
+  discovery_->process->tell(encode(ReplaceList{generation, list}));
+}
+
+void Fleet::set_link(std::size_t link, LinkFault fault, int delay_ms) {
+  ++faults_set_;
+  proxies_->process->tell(encode(SetLinkFault{link, fault, delay_ms}));
+  loop_.run(kMostStarting, [this] { return faults_told_ == faults_set_; });
+}
+
+void Fleet::set_discovery_link(int node, LinkFault fault, int delay_ms) {
+  set_link(static_cast<std::size_t>(node), fault, delay_ms);
+}
+
+void Fleet::set_executor_link(int executor, LinkFault fault, int delay_ms) {
+  set_link(static_cast<std::size_t>(plan_.nodes + executor), fault, delay_ms);
+}
+
+void Fleet::send(int node, const std::string& use_case, const std::string& idempotency_key, double time_left,
+                 Answered answered) {
+  SendRequest request;
+  request.request = ++requests_;
+  request.node = node_addresses_[node];
+  request.use_case = use_case;
+  request.idempotency_key = idempotency_key;
+  request.time_left_ms = static_cast<int>(time_left * 1000);
+  open_.emplace(request.request, std::move(answered));
+  clients_->process->tell(encode(request));
+}
+
+bool Fleet::run(double seconds, const std::function<bool()>& done) {
+  return loop_.run(seconds, done);
+}
+
+bool Fleet::listening(int node) const {
+  return nodes_[node] && nodes_[node]->logged("listening on") > 0;
+}
+
+bool Fleet::all_listening() const {
+  for (int i = 0; i < plan_.nodes; ++i)
+    if (!listening(i)) return false;
+  return true;
+}
+
+int Fleet::nodes_that_logged(const std::string& words) const {
+  return static_cast<int>(
+      std::ranges::count_if(nodes_, [&](const auto& node) { return node && node->logged(words) > 0; }));
+}
+
+std::uint64_t Fleet::discovery_calls() {
+  if (!discovery_) return 0;
+  calls_told_ = false;
+  discovery_->process->tell("calls");
+  loop_.run(1, [this] { return calls_told_; });
+  return calls_;
+}
+
+}  // namespace canvasstage::lab::fleet
--- /dev/null
+++ b/lab/fleet/fleet.h
@@ -0,0 +1,118 @@
+// Several real nodes as processes, with discovery, executors, clients and the links between them as processes
+// of their own. Any of them can lose power (SIGKILL) and be started again at its address.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/effect_ledger.h"
+#include "fleet/messages.h"
+#include "standins/child_process.h"
+#include "standins/node_process.h"
+
+namespace canvasstage::lab::fleet {
+
+struct Programs {
+  std::string node, standin;
+};
+// Those beside this program.
+Programs programs_beside();
+
+struct FleetPlan {
+  Programs programs;
+  int nodes = 6;
+  int executors = 8;
+  double run_time = 0.02;  // seconds of each job
+  double window = 25;      // seconds in which an executor's group recognises a repeat
+  bool proxied_executors = false;
+  std::uint64_t seed = 1;
+  // Adds what belongs to one node alone to its environment (NAME=value).
+  std::function<std::vector<std::string>(int node)> environment = nullptr;
+};
+
+// The use cases that every node is configured with.
+constexpr const char* kIdempotentUseCase = "lookup";
+constexpr const char* kKeyedUseCase = "render";  // recognised within one zone
+constexpr const char* kAtMostOnceUseCase = "charge";
+constexpr double kDrainGrace = 1.5;  // seconds, of the nodes' settings
+
+class Fleet {
+ public:
+  explicit Fleet(FleetPlan plan);
+  Fleet(const Fleet&) = delete;
+  ~Fleet();
+
+  // Each returns once the process is ready.
+  void start_discovery(std::uint64_t generation, const std::vector<ListedExecutor>& list);
+  void start_executors();
+  void start_clients();
+  // Does not wait.
+  void start_node(int node);
+  void start_all_nodes();
+  void stop_discovery() { discovery_.reset(); }
+  void stop_executors() { executors_.reset(); }
+  void stop_node(int node) { nodes_[node].reset(); }
+  // SIGKILL to all nodes and discovery in one moment, and to the executors where they lose power too.
+  enum class Scope { kExecutorsRun, kAll };
+  void lose_power(Scope scope);
+  // Nodes that are started from now on are configured with this list as the one that they had (`known`).
+  void configure_known(std::uint64_t generation, const std::vector<ListedExecutor>& list);
+
+  // All executors as they are: active, started when their process was.
+  std::vector<ListedExecutor> listed() const;
+  void tell_list(std::uint64_t generation, const std::vector<ListedExecutor>& list);
+  void set_discovery_link(int node, LinkFault fault, int delay_ms = 0);
+  void set_executor_link(int executor, LinkFault fault, int delay_ms = 0);
+
+  using Answered = std::function<void(int status)>;
+  void send(int node, const std::string& use_case, const std::string& idempotency_key, double time_left,
+            Answered answered);
+
+  // Serves all until `done` or for so many seconds; whether it was done.
+  bool run(
+      double seconds, const std::function<bool()>& done = [] { return false; });
+  Loop& loop() { return loop_; }
+  bool listening(int node) const;
+  bool all_listening() const;
+  // How many nodes have this in their log since they were last started.
+  int nodes_that_logged(const std::string& words) const;
+  NodeProcess& node(int node) { return *nodes_[node]; }
+  const EffectLedger& ledger() const { return ledger_; }
+  std::uint64_t discovery_calls();
+  const std::string& folder() const { return folder_; }
+  const FleetPlan& plan() const { return plan_; }
+
+ private:
+  struct Standin {
+    std::unique_ptr<ChildProcess> process;
+    std::string ready;  // what it told when it was
+  };
+  std::unique_ptr<Standin> start_standin(std::vector<std::string> arguments,
+                                         std::function<void(const std::string&)> told);
+  std::string configuration(int node) const;
+  void start_proxies();
+  void set_link(std::size_t link, LinkFault fault, int delay_ms);
+
+  FleetPlan plan_;
+  Loop loop_;
+  std::string folder_;
+  std::string discovery_address_;
+  std::string known_;  // as the configuration words it; empty: none
+  std::vector<std::string> node_addresses_, executor_addresses_, listed_addresses_, discovery_links_;
+  std::vector<ListedExecutor> listed_;
+  EffectLedger ledger_;
+  std::unique_ptr<Standin> discovery_, executors_, clients_, proxies_;
+  std::vector<std::unique_ptr<NodeProcess>> nodes_;
+  std::map<std::uint64_t, Answered> open_;
+  std::uint64_t requests_ = 0;
+  int clients_started_ = 0;
+  int faults_set_ = 0, faults_told_ = 0;
+  std::uint64_t calls_ = 0;
+  bool calls_told_ = false;
+};
+
+}  // namespace canvasstage::lab::fleet
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "experiment/experiment.h"
+#include "fleet/power_loss.h"
 #include "scale/real.h"
 #include "scale/scale.h"
 
@@ -82,6 +83,25 @@
   return 0;
 }
 
+// A fleet that loses power, in each case with each seed.
+int measure_power_loss(const std::string& folder, const std::string& program, int plays, int nodes) {
+  std::string table = fleet::table_head();
+  std::cout << table << std::flush;
+  for (const fleet::PowerLossCase which : fleet::kPowerLossCases)
+    for (int seed = 1; seed <= plays; ++seed) {
+      fleet::PowerLossPlan plan;
+      plan.fleet.programs = fleet::programs_beside();
+      if (!program.empty()) plan.fleet.programs.node = program;
+      plan.fleet.nodes = nodes;
+      plan.fleet.seed = static_cast<std::uint64_t>(seed);
+      const std::string row = table_row(which, plan.fleet.seed, fleet::play(plan, which));
+      table += row;
+      std::cout << row << std::flush;
+    }
+  if (!folder.empty()) write_file(folder + "/power-loss.txt", table);
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -106,8 +126,17 @@
   scaling_real->add_option("--out", folder, "a folder for the figures as text and CSV");
   scaling_real->add_option("--program", program, "the node's program; otherwise canvasstage beside this one");
   scaling_real->add_flag("--quiet", quiet, "no progress");
+  int plays = 5, nodes = 6;
+  CLI::App* const power_loss =
+      app.add_subcommand("power-loss", "measures a fleet of real nodes that all lose power");
+  power_loss->add_option("--out", folder, "a folder for the table as text");
+  power_loss->add_option("--program", program, "the node's program; otherwise canvasstage beside this one");
+  power_loss->add_option("--plays", plays, "plays of each case, each with a seed of its own")
+      ->check(CLI::Range(1, 100));
+  power_loss->add_option("--nodes", nodes, "nodes of the fleet")->check(CLI::Range(1, 100));
   CLI11_PARSE(app, argc, argv);
   try {
+    if (power_loss->parsed()) return measure_power_loss(folder, program, plays, nodes);
     if (scaling_real->parsed()) return measure_real(file, folder, program, quiet);
     if (running->parsed()) return run(file, folder, quiet);
     if (scaling->parsed()) return scale(file, folder, quiet);
--- a/lab/scale/real_plan.cpp
+++ b/lab/scale/real_plan.cpp
@@ -19,14 +19,14 @@
 
 // Bounds of one machine that others use too, not of the product.
 constexpr Field kFields[] = {
-    {"executors", &Setup::executors, 1, kMostExecutors, true},
-    {"open_jobs", &Setup::open_jobs, 0, kMostOpenJobs, true},
-    {"waiting_jobs", &Setup::waiting_jobs, 0, kMostOpenJobs, true},
+    {"executors", &Setup::executors, 1, Executors::kMostExecutors, true},
+    {"open_jobs", &Setup::open_jobs, 0, Executors::kMostOpenJobs, true},
+    {"waiting_jobs", &Setup::waiting_jobs, 0, Executors::kMostOpenJobs, true},
     {"rate", &Setup::rate, 0, 1000, false},
     {"run_time", &Setup::run_time, 0, 10, false},
-    {"list_changes", &Setup::list_changes, 0, kMostExecutors, false},
+    {"list_changes", &Setup::list_changes, 0, Executors::kMostExecutors, false},
     {"whole_lists", &Setup::whole_lists, 0, 1, true},
-    {"gone", &Setup::gone, 0, kMostExecutors, true},
+    {"gone", &Setup::gone, 0, Executors::kMostExecutors, true},
     {"reloads", &Setup::reloads, 0, 600, false},
     {"use_cases", &Setup::use_cases, 1, 1000, true},
     {"progress", &Setup::progress, 0, 60, false},
@@ -132,7 +132,7 @@
     }
     for (const double size : {plan.sizes.back(), plan.check}) {
       const Setup setup = setup_at(plan, size);
-      if (setup.open_jobs + setup.waiting_jobs > kMostOpenJobs)
+      if (setup.open_jobs + setup.waiting_jobs > Executors::kMostOpenJobs)
         bad("open_jobs", "too many with waiting_jobs");
     }
   }
--- a/lab/standins/discovery.cpp
+++ b/lab/standins/discovery.cpp
@@ -43,7 +43,9 @@
     need_loopback(executor);
     char id[16];
     std::snprintf(id, sizeof id, "s-%08zx", entries_.size() + 1);
-    entries_.push_back({id, executor});
+    Entry& entry = entries_.emplace_back();
+    entry.id = id;
+    entry.address = executor;
   }
   listener_ = net::listen_on(at);
   address_ = listener_.address();
@@ -119,10 +121,10 @@
     json.StartObject();
     text("instanceId", entry->id);
     text("hostPort", entry->address);
-    text("zone", "a");
+    text("zone", entry->zone);
     text("machineType", "m");
     json.Key("cell");
-    json.Int(1);
+    json.Int(entry->cell);
     text("lifecycle", entry->lifecycle);
     json.Key("weight");
     json.Double(1);
@@ -164,6 +166,15 @@
   tell(left, false);
 }
 
+void Discovery::replace(std::uint64_t generation, std::vector<ListedExecutor> executors) {
+  entries_ = std::move(executors);
+  next_ = 0;
+  generation_ = generation;
+  const std::string list = chunk(line(all(), true));
+  for (const StreamRef& watch : watches_) watch->send(list);
+  lists += watches_.size();
+}
+
 void Discovery::keep_alive() {
   loop_.after(kEmptyLine, [this] {
     for (const StreamRef& watch : watches_) watch->send(chunk("\n"));
--- a/lab/standins/discovery.h
+++ b/lab/standins/discovery.h
@@ -17,6 +17,15 @@
   double gone_at = 0;  // so many seconds after the script starts
 };
 
+// One executor as the list names it.
+struct ListedExecutor {
+  std::string id, address;
+  std::string lifecycle = "active";
+  std::int64_t started_ms = 0;  // Unix time; 0: long ago
+  std::string zone = "a";
+  int cell = 1;
+};
+
 class Discovery {
  public:
   // Listens on a loopback address (127.0.0.1:0: any port); the first version holds these executors.
@@ -25,15 +34,14 @@
   void play(const ListScript& script);
   void change(int entries, bool whole);
   void leave(int entries);
+  // From now on this is the list, whatever it was: each watch is told it whole.
+  void replace(std::uint64_t generation, std::vector<ListedExecutor> executors);
 
   Traffic traffic;
   std::uint64_t calls = 0, lists = 0;  // requests; lines with a list that were written
 
  private:
-  struct Entry {
-    std::string id, address, lifecycle = "active";
-    std::int64_t started_ms = 0;
-  };
+  using Entry = ListedExecutor;
   void accept();
   void read_from(const StreamRef& stream);
   void answer(const StreamRef& stream, std::string_view target);
--- a/lab/standins/executors.cpp
+++ b/lab/standins/executors.cpp
@@ -37,11 +37,20 @@
   if (count < 1 || count > kMostExecutors)
     throw BadStandin("executors: 1 to " + std::to_string(kMostExecutors));
   faults(std::move(rules));
-  for (int i = 0; i < count; ++i) {
-    listeners_.push_back(net::listen_on(address_of(i)));
-    addresses_.push_back(listeners_.back().address());
-    loop_.watch(listeners_.back().fd(), [this, i] { accept_from(static_cast<std::size_t>(i)); });
-  }
+  for (int i = 0; i < count; ++i) listen_at(address_of(i));
+}
+
+Executors::Executors(Loop& loop, const std::vector<std::string>& at, double run_time)
+    : loop_(loop), run_time_(run_time) {
+  for (const std::string& address : at) listen_at(address);
+}
+
+void Executors::listen_at(const std::string& address) {
+  need_loopback(address);
+  const std::size_t executor = listeners_.size();
+  listeners_.push_back(net::listen_on(address));
+  addresses_.push_back(listeners_.back().address());
+  loop_.watch(listeners_.back().fd(), [this, executor] { accept_from(executor); });
 }
 
 void Executors::faults(std::vector<JobFaultRule> rules) {
@@ -54,6 +63,7 @@
   net::Socket socket = accept_now(listeners_[executor]);
   if (!socket.open()) return;
   const auto connection = std::make_shared<Connection>();
+  connection->executor = executor;
   connection->stream = std::make_shared<Stream>(loop_, std::move(socket), traffic);
   connections_.emplace(connection.get(), connection);
   connection->stream->start([this, weak = std::weak_ptr(connection)](Stream&) {
@@ -84,10 +94,10 @@
   }
   const std::size_t whole = head.size() + head.length;
   if (stream.in.size() < whole) return;
-  std::string id(head.field("X-Correlation-Id"));
+  const std::string id(head.field("X-Correlation-Id")), key(head.field("Idempotency-Key"));
   stream.in.erase(0, whole);
   if (id.empty()) return stream.send(head_of(404, false));
-  take(connection, std::move(id));
+  take(connection, id, key);
 }
 
 const JobFaultRule* Executors::fault_now() {
@@ -102,7 +112,8 @@
   return nullptr;
 }
 
-void Executors::take(const ConnectionRef& connection, std::string id) {
+void Executors::take(const ConnectionRef& connection, const std::string& id,
+                     const std::string& idempotency_key) {
   ++came;
   const JobFaultRule* const fault = fault_now();
   if (fault != nullptr) ++faulty;
@@ -111,6 +122,7 @@
   ++open;
   connection->busy = true;
   ++connection->job;
+  if (begun_) begun_({connection->executor, id, idempotency_key});
   if (fault == nullptr) return run(connection, id, run_time_);
   if (fault->kind == JobFault::kReset) {
     connection->stream->reset();
--- a/lab/standins/executors.h
+++ b/lab/standins/executors.h
@@ -2,6 +2,7 @@
 // own.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,9 +11,6 @@
 
 namespace canvasstage::lab {
 
-constexpr int kMostExecutors = 6400;
-constexpr int kMostOpenJobs = 8000;
-
 // What an executor does with a job instead of running it.
 enum class JobFault {
   kRefuse,  // 503 with X-Unprocessed: 1
@@ -29,11 +27,23 @@
   double late = 0;               // seconds, for kLate
 };
 
+// A job that an executor begins, with its place among the executors.
+struct BegunJob {
+  std::size_t executor = 0;
+  std::string id, idempotency_key;
+};
+
 class Executors {
  public:
+  static constexpr int kMostExecutors = 6400;
+  static constexpr int kMostOpenJobs = 8000;
   // Binds `count` addresses; throws BadStandin above the bound or where the system has no descriptors left.
   // run_time: seconds from a job's last byte to done.
   Executors(Loop& loop, int count, double run_time, std::vector<JobFaultRule> faults = {});
+  // At these addresses, as after a restart of the same executors.
+  Executors(Loop& loop, const std::vector<std::string>& at, double run_time);
+  // Called with each job in the moment in which it begins, before a word of it is answered.
+  void observe(std::function<void(const BegunJob&)> begun) { begun_ = std::move(begun); }
   const std::vector<std::string>& addresses() const { return addresses_; }
   void run_time(double seconds) { run_time_ = seconds; }
   // Running jobs tell of their progress so often, in seconds; 0: once, at the start.
@@ -47,13 +57,15 @@
  private:
   struct Connection {
     StreamRef stream;
+    std::size_t executor = 0;
     bool busy = false;
     std::uint64_t job = 0;
   };
   using ConnectionRef = std::shared_ptr<Connection>;
+  void listen_at(const std::string& address);
   void accept_from(std::size_t executor);
   void read_from(const ConnectionRef& connection);
-  void take(const ConnectionRef& connection, std::string id);
+  void take(const ConnectionRef& connection, const std::string& id, const std::string& idempotency_key);
   void run(const ConnectionRef& connection, const std::string& id, double seconds);
   void tell_progress(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
   void finish(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
@@ -62,6 +74,7 @@
   Loop& loop_;
   double run_time_, progress_ = 0;
   LoopTime start_ = LoopClock::now();
+  std::function<void(const BegunJob&)> begun_;
   std::vector<JobFaultRule> faults_;
   std::vector<double> owed_;  // of each rule: the share of jobs that it has not had yet
   std::vector<net::Socket> listeners_;
--- a/tests/lab_standins_test.cpp
+++ b/tests/lab_standins_test.cpp
@@ -208,7 +208,7 @@
   EXPECT_THROW(Discovery(loop, {"10.0.0.1:80"}), BadStandin);
   EXPECT_THROW(Discovery(loop, {}, "0.0.0.0:0"), BadStandin);
   EXPECT_THROW(Clients(loop, "192.168.0.1:80", "lookup"), BadStandin);
-  EXPECT_THROW(Executors(loop, kMostExecutors + 1, 0), BadStandin);
+  EXPECT_THROW(Executors(loop, Executors::kMostExecutors + 1, 0), BadStandin);
   EXPECT_THROW(Executors(loop, 0, 0), BadStandin);
   EXPECT_THROW(NodeProcess(loop, "/nowhere/canvasstage", ""), BadStandin);
 }
