--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	cmake -B build-tsan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCANVASSTAGE_TESTS=ON -DCANVASSTAGE_LAB=OFF \
 	  -DCANVASSTAGE_SANITIZE=thread
 	cmake --build build-tsan -j$(JOBS)
-	TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan --output-on-failure -j$(JOBS) -R '^Program'
+	TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan --output-on-failure -j$(JOBS) -R '^(Program|Storage)'
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
--- a/lab/emulator/dispatchers.cpp
+++ b/lab/emulator/dispatchers.cpp
@@ -105,10 +105,9 @@
   }
   void close_client(Id, bool) override {}
   void end_client(Id, bool) override {}
-  void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission, Time,
-              Time) override {
-    emulator_.launch(index_, launch, over, std::stoi(address),
-                     static_cast<const JobParcel&>(*submission).job);
+  void launch(const AttemptOrder& order) override {
+    emulator_.launch(index_, order.attempt, order.over, std::stoi(order.address),
+                     static_cast<const JobParcel&>(*order.request).job);
   }
   void give_up(Id launch) override { emulator_.give_up(index_, launch); }
   void withdraw(Id) override {}  // each launch has gone at once
--- a/lab/fleet/fleet.cpp
+++ b/lab/fleet/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <sstream>
 #include <utility>
 
@@ -164,9 +165,20 @@
   return out.str();
 }
 
+std::string Fleet::store_folder(int node) const {
+  return folder_ + numbered("/store-", node);
+}
+
+std::string Fleet::write_recovery_settings(int node) const {
+  const std::string path = folder_ + numbered("/recovery-", node) + ".toml";
+  std::ofstream(path) << "[store]\ndirectory = \"" << store_folder(node) << "\"\n" << plan_.recovery_tables;
+  return path;
+}
+
 void Fleet::start_node(int node) {
   std::vector<std::string> environment;
   if (plan_.environment) environment = plan_.environment(node);
+  if (plan_.recovery) environment.push_back("NODE_RECOVERY=" + write_recovery_settings(node));
   nodes_[node] = std::make_unique<NodeProcess>(loop_, plan_.programs.node, configuration(node), environment);
 }
 
--- a/lab/fleet/fleet.h
+++ b/lab/fleet/fleet.h
@@ -30,6 +30,9 @@
   double window = 25;      // seconds in which an executor's group recognises a repeat
   bool proxied_executors = false;
   std::uint64_t seed = 1;
+  // Each node has a store of its own that outlives it; these tables of its settings go behind [store].
+  bool recovery = false;
+  std::string recovery_tables;
   // Adds what belongs to one node alone to its environment (NAME=value).
   std::function<std::vector<std::string>(int node)> environment = nullptr;
 };
@@ -83,7 +86,8 @@
   NodeProcess& node(int node) { return *nodes_[node]; }
   const EffectLedger& ledger() const { return ledger_; }
   std::uint64_t discovery_calls();
-  const std::string& folder() const { return folder_; }
+  // Where a node keeps its store.
+  std::string store_folder(int node) const;
   const FleetPlan& plan() const { return plan_; }
 
  private:
@@ -94,6 +98,7 @@
   std::unique_ptr<Standin> start_standin(std::vector<std::string> arguments,
                                          std::function<void(const std::string&)> told);
   std::string configuration(int node) const;
+  std::string write_recovery_settings(int node) const;
   void start_proxies();
   void set_link(std::size_t link, LinkFault fault, int delay_ms);
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -84,7 +84,8 @@
 }
 
 // A fleet that loses power, in each case with each seed.
-int measure_power_loss(const std::string& folder, const std::string& program, int plays, int nodes) {
+int measure_power_loss(const std::string& folder, const std::string& program, int plays, int nodes,
+                       bool recovery) {
   std::string table = fleet::table_head();
   std::cout << table << std::flush;
   for (const fleet::PowerLossCase which : fleet::kPowerLossCases)
@@ -93,6 +94,7 @@
       plan.fleet.programs = fleet::programs_beside();
       if (!program.empty()) plan.fleet.programs.node = program;
       plan.fleet.nodes = nodes;
+      plan.fleet.recovery = recovery;
       plan.fleet.seed = static_cast<std::uint64_t>(seed);
       const std::string row = table_row(which, plan.fleet.seed, fleet::play(plan, which));
       table += row;
@@ -127,6 +129,7 @@
   scaling_real->add_option("--program", program, "the node's program; otherwise canvasstage beside this one");
   scaling_real->add_flag("--quiet", quiet, "no progress");
   int plays = 5, nodes = 6;
+  bool recovery = false;
   CLI::App* const power_loss =
       app.add_subcommand("power-loss", "measures a fleet of real nodes that all lose power");
   power_loss->add_option("--out", folder, "a folder for the table as text");
@@ -134,9 +137,10 @@
   power_loss->add_option("--plays", plays, "plays of each case, each with a seed of its own")
       ->check(CLI::Range(1, 100));
   power_loss->add_option("--nodes", nodes, "nodes of the fleet")->check(CLI::Range(1, 100));
+  power_loss->add_flag("--recovery", recovery, "each node keeps a store of its own");
   CLI11_PARSE(app, argc, argv);
   try {
-    if (power_loss->parsed()) return measure_power_loss(folder, program, plays, nodes);
+    if (power_loss->parsed()) return measure_power_loss(folder, program, plays, nodes, recovery);
     if (scaling_real->parsed()) return measure_real(file, folder, program, quiet);
     if (running->parsed()) return run(file, folder, quiet);
     if (scaling->parsed()) return scale(file, folder, quiet);
--- a/lab/scale/hollow.cpp
+++ b/lab/scale/hollow.cpp
@@ -134,9 +134,9 @@
   return launched;
 }
 
-void HollowNode::launch(Id launch, Id, const std::string&, const ParcelRef&, Time, Time) {
+void HollowNode::launch(const AttemptOrder& order) {
   ++messages_;
-  launched_.push_back(launch);
+  launched_.push_back(order.attempt);
 }
 
 void HollowNode::give_up(Id launch) {
--- a/lab/scale/hollow.h
+++ b/lab/scale/hollow.h
@@ -104,7 +104,7 @@
   void answer(Id, Answer, const ParcelRef&, Time, After) override { ++messages_; }
   void close_client(Id, bool) override { ++messages_; }
   void end_client(Id, bool) override { ++messages_; }
-  void launch(Id launch, Id, const std::string&, const ParcelRef&, Time, Time) override;
+  void launch(const AttemptOrder& order) override;
   void give_up(Id launch) override;
   void withdraw(Id) override {}  // each launch has gone at once
   bool still_open(Id) override { return true; }
--- a/src/app/configuration.cpp
+++ b/src/app/configuration.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <utility>
 
+#include "app/recovery_settings.h"
 #include "net/discovery.h"
 #include "net/log.h"
 #include "net/socket.h"
@@ -73,6 +74,7 @@
 bool reload(const std::string& path, const Configuration& first, const Apply& apply) {
   try {
     Configuration now = read_configuration(path);
+    read_recovery_settings();  // a change waits for the next start; what is wrong is to be heard of now
     const auto keep = [](bool same, const char* field) {
       if (!same) net::log_note(std::string("reload: ") + field + " stays as it was until the next start");
     };
--- /dev/null
+++ b/src/app/recovery_settings.cpp
@@ -0,0 +1,141 @@
+#include "app/recovery_settings.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string_view>
+
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+#include "core/settings.h"
+
+namespace canvasstage {
+namespace {
+
+// Reads one table's fields by name, and knows which were asked for.
+class TableReader {
+ public:
+  TableReader(const toml::table& file, std::string file_name, std::string name)
+      : file_name_(std::move(file_name)), name_(std::move(name)) {
+    const toml::node* const node = file.get(name_);
+    if (node == nullptr) return;
+    table_ = node->as_table();
+    if (table_ == nullptr) fail("", "a table is needed");
+  }
+
+  double number(const char* field, double otherwise, double least, double most) {
+    const toml::node* const node = value(field);
+    if (node == nullptr) return otherwise;
+    if (!node->is_number()) fail(field, "a number is needed");
+    const double given = *node->value<double>();
+    if (!(given >= least && given <= most)) fail(field, "between " + words(least) + " and " + words(most));
+    return given;
+  }
+  int whole(const char* field, int otherwise, int least, int most) {
+    if (const toml::node* const node = value(field); node != nullptr && !node->is_integer())
+      fail(field, "a whole number is needed");
+    return static_cast<int>(number(field, otherwise, least, most));
+  }
+  bool flag(const char* field, bool otherwise) {
+    const toml::node* const node = value(field);
+    if (node == nullptr) return otherwise;
+    if (!node->is_boolean()) fail(field, "true or false is needed");
+    return *node->value<bool>();
+  }
+  std::string path(const char* field) {
+    const toml::node* const node = value(field);
+    if (node == nullptr) fail(field, "is missing");
+    if (!node->is_string()) fail(field, "a string is needed");
+    std::string given = *node->value<std::string>();
+    if (given.empty() || given.front() != '/') fail(field, "an absolute path is needed");
+    return given;
+  }
+  // After all fields were asked for.
+  void refuse_unknown() const {
+    if (table_ == nullptr) return;
+    for (const auto& [key, node] : *table_)
+      if (!asked_.contains(key.str())) fail(std::string(key.str()).c_str(), "not known");
+  }
+
+ private:
+  const toml::node* value(const char* field) {
+    asked_.insert(field);
+    return table_ == nullptr ? nullptr : table_->get(field);
+  }
+  static std::string words(double value) {
+    std::ostringstream out;
+    out << value;
+    return out.str();
+  }
+  [[noreturn]] void fail(const std::string& field, const std::string& why) const {
+    bad(file_name_ + ": " + name_ + (field.empty() ? "" : "." + field) + ": " + why);
+  }
+
+  const std::string file_name_, name_;
+  const toml::table* table_ = nullptr;
+  std::set<std::string, std::less<>> asked_;
+};
+
+void read_store(TableReader reader, recovery::RecoverySettings& settings) {
+  settings.directory = reader.path("directory");
+  settings.max_size_mb = reader.whole("max_size_mb", settings.max_size_mb, 1, 4096);
+  reader.refuse_unknown();
+}
+
+void read_attempts(TableReader reader, recovery::RecoverySettings& settings) {
+  recovery::AttemptLogSettings& attempts = settings.attempts;
+  settings.log_attempts = reader.flag("enabled", settings.log_attempts);
+  attempts.keep_after_window = to_time(reader.number("keep_after_window_s", 60, 0, 86400));
+  attempts.most_records = static_cast<std::size_t>(
+      reader.whole("max_records", static_cast<int>(attempts.most_records), 1, 1000000));
+  reader.refuse_unknown();
+}
+
+void read_learned(TableReader reader, recovery::LearnedSettings& learned) {
+  learned.save_every = to_time(reader.number("save_every_s", 5, 1, 3600));
+  learned.fade = to_time(reader.number("fade_s", 600, 1, 1e6));
+  learned.most_age = to_time(reader.number("max_age_s", 86400, 0, 1e7));
+  reader.refuse_unknown();
+}
+
+void read_membership(TableReader reader, recovery::MembershipGuardSettings& membership) {
+  membership.short_list_hold = to_time(reader.number("short_list_hold_s", 15, 0, 60));
+  membership.short_list_share = reader.number("short_list_share", 0.5, 0, 1);
+  reader.refuse_unknown();
+}
+
+}  // namespace
+
+recovery::RecoverySettings decode_recovery_settings(const std::string& text, const std::string& file) {
+  toml::table content;
+  try {
+    content = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    std::ostringstream where;
+    where << error.source().begin;
+    bad(file + ": " + std::string(error.description()) + " (" + where.str() + ")");
+  }
+  static const std::set<std::string_view> kTables = {"store", "attempts", "learned", "membership"};
+  for (const auto& [key, node] : content)
+    if (!kTables.contains(key.str())) bad(file + ": " + std::string(key.str()) + ": not known");
+  recovery::RecoverySettings settings;
+  read_store({content, file, "store"}, settings);
+  read_attempts({content, file, "attempts"}, settings);
+  read_learned({content, file, "learned"}, settings.learned);
+  read_membership({content, file, "membership"}, settings.membership);
+  return settings;
+}
+
+std::optional<recovery::RecoverySettings> read_recovery_settings() {
+  const char* const path = std::getenv("NODE_RECOVERY");
+  if (path == nullptr) return std::nullopt;
+  std::ifstream in(path);
+  if (!in) bad(std::string("NODE_RECOVERY: cannot read ") + path);
+  std::stringstream content;
+  content << in.rdbuf();
+  return decode_recovery_settings(content.str(), path);
+}
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/app/recovery_wiring.cpp
@@ -0,0 +1,113 @@
+#include "app/recovery_wiring.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "net/discovery.h"
+#include "net/log.h"
+#include "net/world.h"
+#include "storage/clock.h"
+
+namespace canvasstage {
+namespace {
+
+// More single-use attempts in doubt than this are counted, not listed.
+constexpr std::size_t kMostListed = 20;
+
+std::string seconds_words(Time time) {
+  return std::to_string(time / kSecond) + " s";
+}
+
+}  // namespace
+
+RecoveryWiring::RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now)
+    : settings_(settings), parts_{recovery::MembershipGuard(settings.membership),
+                                  settings.learned,
+                                  {},
+                                  nullptr,
+                                  0,
+                                  [](const std::string& line) { net::log_note(line); }} {
+  try {
+    auto store = std::make_unique<storage::NodeStore>(settings, node, storage::read_clocks(), now);
+    restored_ = store->restored();
+    parts_.run = store->run();
+    if (settings.log_attempts) parts_.attempts.emplace(settings.attempts);
+    writer_ = std::make_unique<storage::StoreWriter>(std::move(store), [](const std::string& failure) {
+      net::log_note("recovery: store is " + failure + "; serving without it");
+    });
+    parts_.store = writer_.get();
+  } catch (const storage::StoreError& error) {
+    net::log_note("recovery: store is " + std::string(storage::words_for(error.defect)) + ": " +
+                  error.what() + "; serving without it");
+  }
+}
+
+std::uint64_t RecoveryWiring::generation() const {
+  return restored_.list ? restored_.list->generation : 0;
+}
+
+void RecoveryWiring::restore(Node& node, Time now, const JsonValue& known, const std::string& discovery) {
+  node.use_recovery(parts_);
+  restore_list(node, now, known, discovery);
+  restore_learned(node, now);
+  restore_attempts(now);
+  restored_ = {};
+}
+
+void RecoveryWiring::restore_list(Node& node, Time now, const JsonValue& known,
+                                  const std::string& discovery) {
+  if (!restored_.list) {
+    if (known.IsNull()) return;
+    parts_.membership.restore(discovery, net::check_list(known));
+    return net::take_list(node, now, known, net::ListUse::kRemembered);
+  }
+  try {
+    rapidjson::Document list;
+    list.Parse<net::kNotRecursive>(restored_.list->content.data(), restored_.list->content.size());
+    net::check_list(list);
+    parts_.membership.restore(restored_.list->discovery, restored_.list->generation);
+    net::take_list(node, now, list, net::ListUse::kRemembered);
+    const bool dated = restored_.list->told > -kNever;
+    net::log_note("recovery: list of generation " + std::to_string(restored_.list->generation) +
+                  (dated ? " told " + seconds_words(now - restored_.list->told) + " ago"
+                         : " of an age that is not known") +
+                  ", " + std::to_string(list["instances"].Size()) + " executors");
+  } catch (const BadInput& input) {
+    net::log_note(std::string("recovery: the list that was kept is not taken: ") + input.what());
+  }
+}
+
+void RecoveryWiring::restore_learned(Node& node, Time now) {
+  if (!restored_.learned) return;
+  if (!recovery::usable(restored_.learned_age, settings_.learned))
+    return net::log_note("recovery: what was learned is not used, " +
+                         (restored_.learned_age ? "it is " + seconds_words(*restored_.learned_age) + " old"
+                                                : std::string("its age is not known")));
+  try {
+    rapidjson::Document learned;
+    learned.Parse<net::kNotRecursive>(restored_.learned->content.data(), restored_.learned->content.size());
+    node.restore_learned(now, learned, *restored_.learned_age);
+    net::log_note("recovery: what was learned " + seconds_words(*restored_.learned_age) + " ago is used");
+  } catch (const BadInput& input) {
+    net::log_note(std::string("recovery: what was learned is not taken: ") + input.what());
+  }
+}
+
+void RecoveryWiring::restore_attempts(Time now) {
+  if (!parts_.attempts) return;
+  parts_.attempts->restore(std::move(restored_.attempts));
+  parts_.store->forget(parts_.attempts->expire(now));
+  net::log_note("recovery: " + std::to_string(parts_.attempts->in_doubt()) + " attempts in doubt, " +
+                std::to_string(restored_.attempts_of_unknown_age) + " of them or answered of unknown age");
+  const std::vector<const recovery::AttemptRecord*> unsettled = parts_.attempts->unrecognisable();
+  for (std::size_t i = 0; i < std::min(unsettled.size(), kMostListed); ++i)
+    net::log_note("recovery: in doubt and not repeatable: request " + unsettled[i]->request_id + " of " +
+                  unsettled[i]->use_case + " at " + unsettled[i]->executor + ", sent " +
+                  seconds_words(now - unsettled[i]->sent) + " ago");
+  if (unsettled.size() > kMostListed)
+    net::log_note("recovery: and " + std::to_string(unsettled.size() - kMostListed) +
+                  " more that are not repeatable");
+}
+
+}  // namespace canvasstage
--- /dev/null
+++ b/src/app/recovery_wiring.h
@@ -0,0 +1,35 @@
+// Builds the parts of recovery for one node: opens its store, and gives the node what an earlier run left.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/node.h"
+#include "recovery/settings.h"
+#include "storage/store_writer.h"
+
+namespace canvasstage {
+
+class RecoveryWiring {
+ public:
+  // Opens the store. One that cannot be used is a line of the log, and the node serves without it.
+  RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now);
+  recovery::NodeRecovery& parts() { return parts_; }
+  recovery::Store* store() { return writer_.get(); }
+  // The generation of the list that was kept; 0: none was.
+  std::uint64_t generation() const;
+  // Gives the node the kept list and what was learned; `known` and its discovery count where none was kept.
+  void restore(Node& node, Time now, const JsonValue& known, const std::string& discovery);
+
+ private:
+  void restore_list(Node& node, Time now, const JsonValue& known, const std::string& discovery);
+  void restore_learned(Node& node, Time now);
+  void restore_attempts(Time now);
+
+  const recovery::RecoverySettings settings_;
+  storage::Restored restored_;
+  recovery::NodeRecovery parts_;
+  std::unique_ptr<storage::StoreWriter> writer_;
+};
+
+}  // namespace canvasstage
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -8,6 +8,7 @@
 
 #include "core/figures.h"
 #include "policy.h"
+#include "recovery/attempt_log.h"
 
 namespace canvasstage {
 
@@ -40,6 +41,18 @@
   std::vector<MovedLaunch> launches;
 };
 
+// One attempt that is to be sent.
+struct AttemptOrder {
+  Id attempt = 0;
+  Id over = 0;  // the attempt that left the connection free which it uses up; 0: a new connection
+  std::string address;
+  ParcelRef request;
+  Time give_up_at = 0;
+  Time write_by = kNever;  // one whose first byte is not written by then never goes
+  // What has to survive a power loss before the first byte is written; none where nothing has to.
+  std::shared_ptr<const recovery::AttemptRecord> record;
+};
+
 // What becomes of a client's connection after an answer: it stays; it ends once all that has come over it is
 // answered; it ends.
 enum class After { kStay, kClose, kEnd };
@@ -55,10 +68,7 @@
   virtual void close_client(Id client, bool finishes) = 0;
   // The same, of one that was told to close and has not: its own end is waited for no longer.
   virtual void end_client(Id client, bool finishes) = 0;
-  // Over the connection that the launch `over` used and left free; 0: over a new one. An `over` is used up.
-  // `write_by`: one whose first byte is not written by then never goes.
-  virtual void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
-                      Time give_up_at, Time write_by) = 0;
+  virtual void launch(const AttemptOrder& order) = 0;
   // Gives up a launch, or closes the free connection that it left.
   virtual void give_up(Id launch) = 0;
   // Gives up a launch of which no byte has gone to its executor.
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -309,7 +309,7 @@
 
 // --- In the process that comes ---
 
-void Node::knowledge_taken_over(Time now, const JsonValue& knowledge) {
+void Node::knowledge_taken_over(Time now, const JsonValue& knowledge, Time as_of) {
   now_ = now;
   for (const JsonValue& one : list(knowledge, "executors").GetArray()) {
     const auto found = executor_indices_.find(std::string(text(needed(one, "id"), "id")));
@@ -320,14 +320,15 @@
     learned.work = number(needed(one, "work"), "work");
     learned.latency = number(needed(one, "latency"), "latency");
     learned.size = number(needed(one, "size"), "size");
-    learned.good = read_sum(one, "good", now);
-    learned.bad = read_sum(one, "bad", now);
-    learned.wait = read_sum(one, "wait", now);
+    learned.good = read_sum(one, "good", as_of);
+    learned.bad = read_sum(one, "bad", as_of);
+    learned.wait = read_sum(one, "wait", as_of);
     learned.away = length(needed(one, "away"), "away");
-    learned.away_until = now + length(needed(one, "awayFor"), "awayFor");
+    learned.away_until = as_of + length(needed(one, "awayFor"), "awayFor");
     const JsonValue& sends = list(one, "coldSends");
     for (rapidjson::SizeType i = 0; i + 1 < sends.Size(); i += 2)
-      learned.cold_sends.emplace_back(now - length(sends[i], "coldSends"), number(sends[i + 1], "coldSends"));
+      learned.cold_sends.emplace_back(as_of - length(sends[i], "coldSends"),
+                                      number(sends[i + 1], "coldSends"));
     policy_.executor_learned(now, found->second, learned);
   }
   for (const JsonValue& one : list(knowledge, "useCases").GetArray())
@@ -340,7 +341,7 @@
     Zone& zone = policy_.zones[index];
     zone.now = length(needed(one, "now"), "now");
     zone.before = length(needed(one, "before"), "before");
-    zone.since = now - length(needed(one, "since"), "since");
+    zone.since = as_of - length(needed(one, "since"), "since");
   }
   for (const JsonValue& one : list(knowledge, "machineKinds").GetArray()) {
     const int index = index_of(terms_.machine_kinds, text(needed(one, "name"), "name"));
@@ -348,7 +349,7 @@
       policy_.widest[index] = std::max(policy_.widest[index], number(needed(one, "widest"), "widest"));
   }
   const JsonValue& sums = needed(knowledge, "sums");
-  policy_.each_sum([&](const char* name, DecayingSum& sum) { sum = read_sum(sums, name, now); });
+  policy_.each_sum([&](const char* name, DecayingSum& sum) { sum = read_sum(sums, name, as_of); });
 }
 
 Id Node::link_taken_over(Time now, const std::string& executor, const std::string& address, Time since) {
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -112,7 +112,8 @@
 }
 
 void Node::submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
-                              int width, ParcelRef submission, std::uint64_t key) {
+                              int width, ParcelRef submission, std::uint64_t key,
+                              const std::string& idempotency_key) {
   now_ = now;
   const auto found = clients_.find(client);
   if (found == clients_.end() || found->second.submission >= 0) return;
@@ -123,6 +124,10 @@
   if (!ids_.insert(id).second) return effects_.answer(client, Answer::kRejected, nullptr, 0, After::kEnd);
   ++figures_.taken;
   const int index = new_entry(client, id, use_case, due, std::move(submission));
+  if (logs_attempts(use_case)) {
+    entries_[index].idempotency_key = idempotency_key;
+    if (arrives_after_attempt(now, index, hint, width, key)) return;
+  }
   policy_.submission_arrived(now, index, use_case, due, hint, width, key, stop_by_);
   if (handing_over_) hand_over_if_ready(index);
 }
@@ -192,6 +197,7 @@
   if (!entry.ended || entry.pending > 0 || entry.client == 0) return;
   entry.client = 0;
   entry.parcel.reset();
+  entry.idempotency_key.clear();
   ids_.erase(entry.id);
   unused_.push_back(submission);
 }
@@ -302,7 +308,9 @@
   const Time write_by = window_end == kNever
                             ? kNever
                             : window_end - settings_.quantum - policy_.delay(policy_.executors[executor]);
-  effects_.launch(id, over, place.address, entry.parcel, give_up_at, write_by);
+  AttemptOrder order{id, over, place.address, entry.parcel, give_up_at, write_by, nullptr};
+  if (logs_attempts(entry.use_case)) order.record = log_attempt(id, submission, executor);
+  effects_.launch(order);
   effects_.wake_at(give_up_at, kLaunchToken | id);
 }
 
@@ -383,6 +391,9 @@
     answer(running.submission, Answer::kRejected, nullptr, 0);
   const Time sent = policy_.submissions[running.submission].launches[running.number].sent;
   policy_.launch_ended(now, running.submission, running.number, outcome, now - sent, entry.ended, load);
+  if (logs_attempts(entry.use_case))
+    attempt_ended(launch, policy_.submissions[running.submission].launches[running.number].may_have_run,
+                  outcome);
   release_if_over(running.submission);
   if (!handing_over_) return;
   hand_over_free_links(running.executor);
@@ -403,6 +414,8 @@
   const bool restarted = !added && started > policy_.executors[index].started;
   if (standing == Standing::kGone || restarted || place.address != address) close_free_links(index);
   place.address = address;
+  place.held = false;
+  if (restarted && std::exchange(place.restored, false)) policy_.executor_learned(now, index, {});
   policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind),
                           cell, standing, started, weight, hash_of(id));
 }
@@ -413,6 +426,7 @@
   silences_ = 0;
   roster_version_ = version;
   have_roster_ = true;
+  list_unsaved_ = true;
   policy_.roster_arrived(now, form);
   if (form != RosterForm::kRemembered) open_listener();
 }
@@ -456,16 +470,18 @@
 // made. If that is silent too another one still comes in time.
 void Node::subscribe() {
   constexpr Time kMostCall = kSecond * 11 / 2;  // discovery itself ends one that has waited too long
-  // A change counts as told 6 s after a call failed, whatever the next one does: this one may be silent, too.
-  constexpr Time kFirstCall = 2 * kSecond;
   constexpr Time kSoon = kSecond * 11 / 10;  // of 300 nodes that called together all were answered in 0.3 s
   constexpr int kMostSoon = 3;               // one that is slower than all of these is heard after them
   if (now_ - asked_ < kMostCall + kSecond) return;
+  call_discovery(silences_ == 0 ? kFirstCall : silences_ <= kMostSoon ? kSoon : kMostCall);
+}
+
+// With recovery each call asks for the whole list: changes since a generation of another incarnation would
+// say nothing of what came before them.
+void Node::call_discovery(Time within) {
   asked_ = now_;
-  effects_.watch_roster(discovery_, roster_version_,
-                        silences_ == 0           ? kFirstCall
-                        : silences_ <= kMostSoon ? kSoon
-                                                 : kMostCall);
+  if (recovery_ != nullptr) recovery_->membership.call_started(discovery_);
+  effects_.watch_roster(discovery_, recovery_ == nullptr ? roster_version_ : 0, within);
 }
 
 // --- Time ---
@@ -522,6 +538,7 @@
   if (closing_idle_ && (listener_closed_ || now >= stop_by_)) close_idle_clients();
   close_again();
   if (platform_.console > 0) publish(now);
+  if (recovery_ != nullptr) recovery_tick(now);
   effects_.wake_at(now + kTick, kTickToken);
 }
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -14,6 +14,7 @@
 #include "core/effects.h"
 #include "core/settings.h"
 #include "policy.h"
+#include "recovery/node_recovery.h"
 
 namespace canvasstage {
 
@@ -44,7 +45,8 @@
   // `due` counts from the client's sending; `use_case` is an index of the settings. One whose id is open
   // already, or may be at an executor still, is rejected: passed on it would be a second copy.
   void submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
-                          int width, ParcelRef submission, std::uint64_t key = 0);
+                          int width, ParcelRef submission, std::uint64_t key = 0,
+                          const std::string& idempotency_key = {});
 
   // Answered before a word of it was kept, for want of a buffer.
   void turned_away(int use_case);
@@ -59,6 +61,14 @@
   void executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
                        std::string_view kind, int cell, Standing standing, Time started, double weight = -1);
   void roster_arrived(Time now, RosterForm form, std::uint64_t version);
+  // What a list that discovery told may change; `late`: on a call that is over. Before its entries.
+  recovery::ListVerdict list_told(Time now, const recovery::ListSummary& told, bool late);
+  // Whether that is an executor that the node holds, and its process is no newer than this.
+  bool knows_executor(std::string_view id, Time started) const;
+  // The members that the list which comes next does not name stay for a while.
+  void hold_members();
+  // Discovery may have lost its memory: it is called again at once, for the whole list.
+  void confirm_list(Time now);
   void roster_refused(Time now);
   void roster_silent(Time now);
   void discovery_moved(Time now, std::string address);
@@ -73,13 +83,22 @@
   // It waits for its executor and reads no more; `reading` is how far it came.
   void launch_parked(Time now, Id launch, ParcelRef reading);
   // What the process before this one knew (as knowledge() gives it), left free, and has open.
-  void knowledge_taken_over(Time now, const JsonValue& knowledge);
+  // `as_of`: when it was worded, in this process's time.
+  void knowledge_taken_over(Time now, const JsonValue& knowledge, Time as_of);
   // The id that the connection goes by; 0: nobody is to use it.
   Id link_taken_over(Time now, const std::string& executor, const std::string& address, Time since);
   // The ids of its pending launches, in their order; none and false: it cannot be had.
   bool job_taken_over(Time now, Id client, MovedJob job, std::vector<Id>& launches);
   std::string knowledge(Time now);
 
+  // --- Recovery from a power loss, where the operator has it on ---
+  // Before any other event. It belongs to the caller and lives as long as the node.
+  void use_recovery(recovery::NodeRecovery& recovery) { recovery_ = &recovery; }
+  // What the node had learned before, so long ago: it has faded. Executors are listed by then.
+  void restore_learned(Time now, const JsonValue& knowledge, Time age);
+  // The list that the node holds, in discovery's form.
+  std::string list_in_words() const;
+
   void timer_due(Time now, std::uint64_t token);
   // Nothing more can connect.
   void listener_closed(Time now);
@@ -103,6 +122,7 @@
   struct Entry {
     Id client = 0;
     std::string id;
+    std::string idempotency_key;  // only where attempts are logged
     ParcelRef parcel;
     std::vector<Id> launches;
     int use_case = 0;
@@ -118,6 +138,8 @@
     bool closing = false;  // told to close, and gone soon
     bool refused = false;  // one too many: what it hands in is pushed back unseen
   };
+  // A change counts as told 6 s after a call failed, whatever the next one does: this one may be silent, too.
+  static constexpr Time kFirstCall = 2 * kSecond;
   static constexpr std::uint64_t kLaunchToken = std::uint64_t{1} << 63;  // a timer of a launch
   struct Running {
     int submission, number, executor;
@@ -131,6 +153,8 @@
   struct Place {
     std::string id, address;
     std::deque<FreeLink> free;  // the one used last at the back
+    bool held = false;          // a list that is short did not name it
+    bool restored = false;      // what is known of it was learned before a power loss
   };
 
   int new_entry(Id client, const std::string& id, int use_case, Time due, ParcelRef submission);
@@ -152,6 +176,19 @@
   static int usable(Platform platform);
   static Time link_idle(const Settings& settings);
   static Settings on_sockets(Settings settings, Time idle);
+  void call_discovery(Time within);
+  bool logs_attempts(int use_case) const;
+  bool arrives_after_attempt(Time now, int submission, double hint, int width, std::uint64_t key);
+  bool may_follow(Time now, const recovery::AttemptRecord& earlier, const UseCase& use_case,
+                  int executor) const;
+  int executor_of(Time now, const recovery::AttemptRecord& attempt);
+  std::shared_ptr<const recovery::AttemptRecord> log_attempt(Id launch, int submission, int executor);
+  void attempt_ended(Id launch, bool may_have_run, Outcome outcome);
+  std::size_t members() const;
+  void remove_held_members(Time now);
+  void recovery_tick(Time now);
+  void save_list(Time now);
+  void save_learned(Time now);
   void launch_timer_due(Time now, Id launch);
   void count_end(int use_case, Answer answer);
   void show_use_cases();
@@ -186,6 +223,9 @@
   bool listening_ = false, have_roster_ = false;
   bool handing_over_ = false;
   bool parting_ = false, closing_idle_ = false, listener_closed_ = false, finished_ = false;
+  recovery::NodeRecovery* recovery_ = nullptr;
+  bool list_unsaved_ = false;
+  Time save_list_at_ = 0, save_learned_at_ = 0, expire_attempts_at_ = 0;
   Figures figures_;
   std::vector<std::size_t> lines_;  // by use case: its line among the figures
   Policy policy_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,9 +6,12 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "app/configuration.h"
+#include "app/recovery_settings.h"
+#include "app/recovery_wiring.h"
 #include "core/node.h"
 #include "net/console.h"
 #include "net/log.h"
@@ -22,8 +25,8 @@
 constexpr const char* kUsage =
     "usage: canvasstage [--help | --version]\n"
     "One node. NODE_CONFIG names its configuration; NODE_LISTEN, NODE_DISCOVERY and NODE_CONSOLE, where set, "
-    "go before it at the start. NODE_INHERITED_FD names a listening socket to take clients from. SIGHUP "
-    "reads the file again.\n";
+    "go before it at the start. NODE_INHERITED_FD names a listening socket to take clients from. "
+    "NODE_RECOVERY names the settings of recovery from a power loss. SIGHUP reads the file again.\n";
 
 // The clients' listening socket: one that the platform holds and every process of this node inherits, or one
 // of its own.
@@ -45,6 +48,7 @@
 
 void run(const char* path, const sigset_t& signals) {
   const Configuration c = read_configuration(path);
+  const std::optional<recovery::RecoverySettings> recovery_settings = read_recovery_settings();
   // Five eighths of the memory may be buffers, a third of them for submissions: a launch needs one, and a
   // submission may have several. Threads and the rest were measured at a tenth of 192 MB, with every
   // descriptor in use.
@@ -94,14 +98,21 @@
                                              [&](bool overlap) { share_limits(overlap ? 8 : 16); });
     world.heir = upgrade.get();
   }
-  server = std::make_unique<net::Server>(world, std::move(listener), upgrade.get(), c.sockets);
   const Time start = net::now();
+  std::unique_ptr<RecoveryWiring> recovery;
+  if (recovery_settings) recovery = std::make_unique<RecoveryWiring>(*recovery_settings, c.name, start);
+  server = std::make_unique<net::Server>(world, std::move(listener), upgrade.get(), c.sockets,
+                                         recovery ? recovery->store() : nullptr);
   const Platform platform{c.sockets, shared, console ? net::Console::kRoom + 1 : 0};
-  node = std::make_unique<Node>(c.settings, c.terms, platform, c.seed, *server, start, discovery,
-                                c.roster_version);
+  node = std::make_unique<Node>(
+      c.settings, c.terms, platform, c.seed, *server, start, discovery,
+      recovery && recovery->generation() > 0 ? recovery->generation() : c.roster_version);
   seen = node.get();
   const JsonValue& known = member(c.file, "known");
-  if (!known.IsNull()) net::take_list(*node, start, known, true);
+  if (recovery)
+    recovery->restore(*node, start, known, discovery);
+  else if (!known.IsNull())
+    net::take_list(*node, start, known, net::ListUse::kRemembered);
   if (upgrade && (!parting.enable() || !upgrade->start(std::getenv("TMPDIR")))) {
     net::log_note("upgrade: no other process can be met, this one keeps to half of its limits");
     share_limits(8);
@@ -138,6 +149,7 @@
   if (console) console->stop();
   // Longer than any thread looks away; one that is stuck all the same ends with the process.
   const bool ended = net::threads_end_within(net::Milliseconds(1500));
+  recovery.reset();  // what it was told last is written
   net::stop_log();
   if (!server->failure().empty()) throw std::runtime_error(server->failure());
   if (!ended) std::_Exit(0);
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -411,10 +411,11 @@
   const int width = std::max(1, static_cast<int>(std::min(fact(head.field("X-Facts"), "slots", 1), 1e6)));
   if (!open_submission()) return reject(503, Reason::kIdle, reason);
   submission->client_left = left_check();
-  std::string name(head.field("X-Correlation-Id"));
-  world_.reducer.post([&world = world_, id = id_, name = std::move(name), use_case, due = came + left, width,
-                       key, parcel = ParcelRef(std::move(submission))](Time now) {
-    world.node->submission_arrived(now, id, name, use_case, due, 0, width, parcel, key);
+  std::string name(head.field("X-Correlation-Id")), idempotency_key(head.field("Idempotency-Key"));
+  world_.reducer.post([&world = world_, id = id_, name = std::move(name),
+                       idempotency_key = std::move(idempotency_key), use_case, due = came + left, width, key,
+                       parcel = ParcelRef(std::move(submission))](Time now) {
+    world.node->submission_arrived(now, id, name, use_case, due, 0, width, parcel, key, idempotency_key);
   });
   return await_answer(reason);
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -72,20 +72,50 @@
   return std::string_view::npos;
 }
 
-void take_list(Node& node, Time now, const JsonValue& list, bool remembered) {
+namespace {
+
+void take_entry(Node& node, Time now, const JsonValue& entry) {
+  const JsonValue& weight = member(entry, "weight");
+  const double started = number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
+  node.executor_listed(now, text(entry["instanceId"], ""), text(entry["hostPort"], ""),
+                       text_or_none(member(entry, "zone")), text_or_none(member(entry, "machineType")),
+                       static_cast<int>(number_or(member(entry, "cell"), -1, "cell")),
+                       standing_of(text(entry["lifecycle"], "")), to_time(started / 1000),
+                       weight.IsNumber() ? weight.GetDouble() : -1);
+}
+
+bool is_whole(const JsonValue& list) {
   const JsonValue& reset = member(list, "reset");
+  return reset.IsBool() && reset.GetBool();
+}
+
+// Of a list that is not taken yet: what it says that is safe in any case. An executor that has started anew
+// since is another process, and no older drain is its own.
+void take_drains(Node& node, Time now, const JsonValue& list) {
   for (const JsonValue& entry : member(list, "instances").GetArray()) {
-    const JsonValue& weight = member(entry, "weight");
-    const double started = number_or(member(entry, "startedAtMs"), 0, "startedAtMs");
-    node.executor_listed(now, text(entry["instanceId"], ""), text(entry["hostPort"], ""),
-                         text_or_none(member(entry, "zone")), text_or_none(member(entry, "machineType")),
-                         static_cast<int>(number_or(member(entry, "cell"), -1, "cell")),
-                         standing_of(text(entry["lifecycle"], "")), to_time(started / 1000),
-                         weight.IsNumber() ? weight.GetDouble() : -1);
+    const Time started = to_time(number_or(member(entry, "startedAtMs"), 0, "startedAtMs") / 1000);
+    if (standing_of(text(entry["lifecycle"], "")) != Standing::kReady &&
+        node.knows_executor(text(entry["instanceId"], ""), started))
+      take_entry(node, now, entry);
   }
-  const RosterForm form = remembered                          ? RosterForm::kRemembered
-                          : reset.IsBool() && reset.GetBool() ? RosterForm::kWhole
-                                                              : RosterForm::kChanges;
+}
+
+recovery::ListSummary summary_of(const JsonValue& list) {
+  recovery::ListSummary summary;
+  summary.generation = whole(needed(list, "generation"), "generation");
+  summary.whole = is_whole(list);
+  for (const JsonValue& entry : member(list, "instances").GetArray())
+    if (standing_of(text(entry["lifecycle"], "")) != Standing::kGone) ++summary.members;
+  return summary;
+}
+
+}  // namespace
+
+void take_list(Node& node, Time now, const JsonValue& list, ListUse use) {
+  for (const JsonValue& entry : member(list, "instances").GetArray()) take_entry(node, now, entry);
+  const RosterForm form = use == ListUse::kRemembered               ? RosterForm::kRemembered
+                          : use == ListUse::kTold && is_whole(list) ? RosterForm::kWhole
+                                                                    : RosterForm::kChanges;
   node.roster_arrived(now, form, whole(needed(list, "generation"), "generation"));
 }
 
@@ -188,15 +218,8 @@
   // long in answering. It then holds the same entries, and an older list changes nothing.
   world_.reducer.post([self = shared_from_this(), list](Time now) {
     try {
-      const std::uint64_t version = check_list(*list), held = self->world_.node->roster_version();
-      if (version < held || (version == held && self->given_up_)) {
-        if (version < held)
-          log_note("discovery: generation: " + std::to_string(version) + " is older than " +
-                   std::to_string(held));
-        return self->given_up_ ? void() : self->world_.node->roster_arrived(now, RosterForm::kChanges, held);
-      }
-      take_list(*self->world_.node, now, *list, false);
-      log_note("roster taken, version " + std::to_string(version));
+      check_list(*list);
+      self->take_told_list(now, *list);
     } catch (const BadInput& input) {
       log_note(std::string("discovery: ") + input.what());
       if (self->given_up_) return;
@@ -207,4 +230,38 @@
   return true;
 }
 
+// On the reducer's thread.
+void Watch::take_told_list(Time now, const JsonValue& list) {
+  Node& node = *world_.node;
+  const recovery::ListSummary told = summary_of(list);
+  const std::uint64_t held = node.roster_version();
+  const std::string version = std::to_string(told.generation);
+  switch (node.list_told(now, told, given_up_)) {
+    case recovery::ListVerdict::kApply:
+      take_list(node, now, list, ListUse::kTold);
+      log_note("roster taken, version " + version);
+      return;
+    case recovery::ListVerdict::kApplyWithoutRemovals:
+      node.hold_members();
+      take_list(node, now, list, ListUse::kToldWithoutRemovals);
+      log_note("roster taken, version " + version + ", far shorter than before: nobody is removed yet");
+      return;
+    case recovery::ListVerdict::kRefuse:
+      if (told.generation < held)
+        log_note("discovery: generation: " + version + " is older than " + std::to_string(held));
+      if (!given_up_) node.roster_arrived(now, RosterForm::kChanges, held);
+      return;
+    case recovery::ListVerdict::kDrainsOnly:
+      take_drains(node, now, list);
+      return;
+    case recovery::ListVerdict::kConfirm:
+      log_note("discovery: generation: " + version + " may begin a new incarnation, held is " +
+               std::to_string(held) + ": asked again");
+      take_drains(node, now, list);
+      node.roster_arrived(now, RosterForm::kChanges, held);
+      node.confirm_list(now);
+      return;
+  }
+}
+
 }  // namespace canvasstage::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -22,6 +22,7 @@
  private:
   Reason follow();
   bool take_line(std::string_view line);
+  void take_told_list(Time now, const JsonValue& list);
 
   World& world_;
   const std::string address_;
@@ -35,9 +36,12 @@
 // Where the first message in `bytes` ends: at a line's end that stands in no object or list, as lists may
 // come indented. npos: not yet.
 std::size_t message_end(std::string_view bytes);
+// Where a list comes from, and what absence from it means.
+enum class ListUse { kRemembered, kTold, kToldWithoutRemovals };
+
 // A list in discovery's form, as it stands in a change and in the configuration. Checking it gives its
 // version, or throws BadInput; only one that was checked is taken.
 std::uint64_t check_list(const JsonValue& list);
-void take_list(Node& node, Time now, const JsonValue& list, bool remembered);
+void take_list(Node& node, Time now, const JsonValue& list, ListUse use);
 
 }  // namespace canvasstage::net
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -40,14 +40,21 @@
 // --- The reducer's side ---
 
 void ExecutorConnection::launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at,
-                                Time write_by) {
+                                Time write_by, bool recorded) {
   const std::lock_guard lock(mutex_);
-  next_ = Work{id, address, std::static_pointer_cast<const Submitted>(std::move(submission)), give_up_at,
-               write_by};
+  next_ = Work{id,         address,  std::static_pointer_cast<const Submitted>(std::move(submission)),
+               give_up_at, write_by, nullptr,
+               recorded};
   writing_ = false;
   changed_.notify_one();
 }
 
+void ExecutorConnection::record_written(Id id) {
+  const std::lock_guard lock(mutex_);
+  record_written_ = id;
+  changed_.notify_one();
+}
+
 void ExecutorConnection::go_on(Id id, const std::string& address, ParcelRef submission,
                                std::shared_ptr<const Reading> reading) {
   const std::lock_guard lock(mutex_);
@@ -178,9 +185,21 @@
   return true;
 }
 
+// It is not sent yet: whatever withdraws it ends the wait, and so does the time by which it has to go.
+void ExecutorConnection::wait_for_record() {
+  if (!work_.recorded) return;
+  const Time until = std::min(work_.write_by, work_.give_up_at);
+  const auto clock_until = Clock::now() + std::chrono::microseconds((until - now()) * (1000000 / kSecond));
+  std::unique_lock lock(mutex_);
+  const bool written =
+      changed_.wait_until(lock, clock_until, [this] { return given_up_ || record_written_ == work_.id; });
+  given_up_ = given_up_ || !written;
+}
+
 // One that was given up while it waited is stopped here, before its first byte; and one that waited so long
 // that a drain told since it was decided might forbid it.
 bool ExecutorConnection::write(Ending& ending) {
+  wait_for_record();
   const http::Head& head = work_.submission->head;
   std::string out;
   http::Writer writer(out);
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -32,9 +32,12 @@
   void run();  // the thread's
 
   // The reducer's. One launch at a time; the next one once the last has ended.
-  // `write_by`: one that is not being written by then is not written at all.
+  // `write_by`: one that is not being written by then is not written at all. `recorded`: nor is one before
+  // its record was told to be written.
   void launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at,
-              Time write_by = kNever);
+              Time write_by = kNever, bool recorded = false);
+  // From any thread: nothing more is waited for where the record of that launch is concerned.
+  void record_written(Id id);
   // Gives it up unless its first byte may have gone.
   void withdraw();
   // Goes on where another process stopped, or stands free with its connection.
@@ -52,6 +55,7 @@
     std::shared_ptr<const Submitted> submission;
     Time give_up_at = 0, write_by = 0;
     std::shared_ptr<const Reading> reading = nullptr;
+    bool recorded = false;
   };
   struct Ending {
     Outcome outcome = Outcome::kBroken;
@@ -68,6 +72,7 @@
   bool was_given_up();
   bool client_left() const;
   void end();  // under the lock: its socket is shut, and its thread sees it
+  void wait_for_record();
   bool write(Ending& ending);
   void read_answer(Ending& ending, std::string_view begun = {});
   void read_on(Ending& ending);
@@ -88,7 +93,8 @@
   std::condition_variable changed_;
   Socket socket_;
   bool given_up_ = false, idle_ = false;
-  bool writing_ = false;  // a byte of the launch may have gone
+  bool writing_ = false;   // a byte of the launch may have gone
+  Id record_written_ = 0;  // the last launch whose record was
   std::optional<Work> next_;
   Work work_;                     // the thread's own, as what follows
   Clock::time_point read_until_;  // of the answer that is being read
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -106,7 +106,7 @@
                        std::vector<Socket> sockets) {
   const std::string_view kind = text(needed(message, "kind"), "kind");
   if (kind == "knowledge") {
-    world_.node->knowledge_taken_over(now, needed(message, "knowledge"));
+    world_.node->knowledge_taken_over(now, needed(message, "knowledge"), now);
   } else if (sockets.empty()) {
     bad("descriptors are missing");
   } else if (kind == "link") {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -9,10 +9,11 @@
 
 // Three quarters of the descriptors: the reducer closes what is idle from a half on, but the listener may be
 // far ahead of it, and a call to discovery, the console or an executor is to get one then too.
-Server::Server(World& world, Socket listener, Upgrade* upgrade, int descriptors)
+Server::Server(World& world, Socket listener, Upgrade* upgrade, int descriptors, recovery::Store* store)
     : world_(world),
       listener_(std::move(listener)),
       upgrade_(upgrade),
+      store_(store),
       most_clients_(std::max(1, descriptors / 4 * 3)) {}
 
 void Server::start() {
@@ -155,17 +156,16 @@
   if (const auto found = clients_.find(client); found != clients_.end()) found->second->end_now(finishes);
 }
 
-void Server::launch(Id launch, Id over, const std::string& address, const ParcelRef& submission,
-                    Time give_up_at, Time write_by) {
+void Server::launch(const AttemptOrder& order) {
   std::shared_ptr<ExecutorConnection> link;
-  if (const auto found = links_.find(over); found != links_.end()) {
+  if (const auto found = links_.find(order.over); found != links_.end()) {
     link = std::move(found->second);
     links_.erase(found);
   } else {
     link = new_link();
     if (!start(link)) {
-      world_.reducer.post([this, launch](Time now) {
-        world_.node->launch_ended(now, launch, Outcome::kUnsent, nullptr, false, nullptr);
+      world_.reducer.post([this, attempt = order.attempt](Time now) {
+        world_.node->launch_ended(now, attempt, Outcome::kUnsent, nullptr, false, nullptr);
       });
       return;
     }
@@ -173,8 +173,13 @@
   // Decided now, with what was told by now: half of the grace is for connecting, and an eighth for the list
   // that may wait in the queue behind this.
   const Time in_grace = now() + world_.terms.read()->drain_grace * 7 / 8;
-  link->launch(launch, address, submission, give_up_at, std::min(write_by, in_grace));
-  links_.emplace(launch, std::move(link));
+  const bool recorded = order.record != nullptr && store_ != nullptr;
+  link->launch(order.attempt, order.address, order.request, order.give_up_at,
+               std::min(order.write_by, in_grace), recorded);
+  // It connects while its record is written.
+  if (recorded)
+    store_->append(*order.record, [link, attempt = order.attempt](bool) { link->record_written(attempt); });
+  links_.emplace(order.attempt, std::move(link));
 }
 
 void Server::give_up(Id launch) {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -16,6 +16,7 @@
 #include "net/executor.h"
 #include "net/upgrade.h"
 #include "net/world.h"
+#include "recovery/store.h"
 
 namespace canvasstage::net {
 
@@ -23,7 +24,8 @@
  public:
   // `upgrade`: where another process may hold the same listening socket; else null. `descriptors`: the most
   // that the process may have open.
-  Server(World& world, Socket listener, Upgrade* upgrade, int descriptors);
+  // `store`: where the attempts that have a record are written first; null: there are none.
+  Server(World& world, Socket listener, Upgrade* upgrade, int descriptors, recovery::Store* store = nullptr);
   void start();
   // After the reducer has finished: ends every thread.
   void end_threads();
@@ -32,8 +34,7 @@
   void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) override;
   void close_client(Id client, bool finishes) override;
   void end_client(Id client, bool finishes) override;
-  void launch(Id launch, Id over, const std::string& address, const ParcelRef& submission, Time give_up_at,
-              Time write_by) override;
+  void launch(const AttemptOrder& order) override;
   void give_up(Id launch) override;
   void withdraw(Id launch) override;
   bool still_open(Id launch) override;
@@ -65,6 +66,7 @@
   World& world_;
   Socket listener_;  // the listener thread's
   Upgrade* const upgrade_;
+  recovery::Store* const store_;
   const int most_clients_;
   std::atomic<int> clients_open_{0};  // accepted, and not closed yet
   std::mutex mutex_;
--- /dev/null
+++ b/src/recovery/store.h
@@ -0,0 +1,39 @@
+// What recovery writes down for the time after a power loss. Called on the reducer's thread; nothing waits.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "recovery/attempt_log.h"
+
+namespace canvasstage::recovery {
+
+// The list of executors that the node holds, in discovery's form.
+struct StoredList {
+  std::string discovery;  // the address that told it
+  std::uint64_t generation = 0;
+  std::string content;
+  Time told = 0;
+};
+
+// What the node has learned of its executors, as the handover words it.
+struct StoredLearned {
+  std::string content;
+  Time as_of = 0;
+};
+
+class Store {
+ public:
+  virtual ~Store() = default;
+  // `written` is called from another thread: true once the record survives a power loss, false where the
+  // store has failed and the attempt goes without.
+  virtual void append(const AttemptRecord& record, std::function<void(bool durable)> written) = 0;
+  virtual void forget(const std::vector<AttemptNumber>& attempts) = 0;
+  virtual void mark_ended(const AttemptNumber& attempt) = 0;
+  virtual void save(StoredList list) = 0;
+  virtual void save(StoredLearned learned) = 0;
+};
+
+}  // namespace canvasstage::recovery
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -98,6 +98,7 @@
     Id id, over;
     std::string address;
     Time write_by;
+    std::shared_ptr<const recovery::AttemptRecord> record;
   };
   std::vector<Launched> launches;
   std::vector<std::pair<Id, Answer>> answers;
@@ -123,8 +124,8 @@
   }
   void close_client(Id client, bool) override { closed.push_back(client); }
   void end_client(Id client, bool) override { ended.push_back(client); }
-  void launch(Id id, Id over, const std::string& address, const ParcelRef&, Time, Time write_by) override {
-    launches.push_back({id, over, address, write_by});
+  void launch(const AttemptOrder& order) override {
+    launches.push_back({order.attempt, order.over, order.address, order.write_by, order.record});
   }
   void give_up(Id launch) override { given_up.push_back(launch); }
   void withdraw(Id launch) override { withdrawn.push_back(launch); }
--- /dev/null
+++ b/tests/node_recovery_test.cpp
@@ -0,0 +1,228 @@
+// The node that obeys recovery: lists, attempts in doubt and what was learned, without sockets or a disk.
+#include <gtest/gtest.h>
+
+#include "helpers.h"
+
+namespace canvasstage {
+namespace {
+
+constexpr int kKeyed = 1, kSingleUse = 2;  // use cases of the small settings
+
+// Keeps what it is told to write.
+struct RecordingStore : recovery::Store {
+  void append(const recovery::AttemptRecord& record, std::function<void(bool)>) override {
+    appended.push_back(record);
+  }
+  void forget(const std::vector<recovery::AttemptNumber>& attempts) override {
+    forgotten.insert(forgotten.end(), attempts.begin(), attempts.end());
+  }
+  void mark_ended(const recovery::AttemptNumber& attempt) override { ended.push_back(attempt); }
+  void save(recovery::StoredList list) override { lists.push_back(std::move(list)); }
+  void save(recovery::StoredLearned kept) override { learned.push_back(std::move(kept)); }
+  std::vector<recovery::AttemptRecord> appended;
+  std::vector<recovery::AttemptNumber> forgotten, ended;
+  std::vector<recovery::StoredList> lists;
+  std::vector<recovery::StoredLearned> learned;
+};
+
+struct NodeRecoveryTest : testing::Test {
+  NodeRecoveryTest() {
+    parts.attempts.emplace(recovery::AttemptLogSettings{});
+    parts.store = &store;
+    parts.run = 2;
+    core.node.use_recovery(parts);
+  }
+  void arrive(Id client, int use_case, const std::string& key, Time now = kNow) {
+    core.node.client_opened(now, client);
+    core.node.submission_arrived(now, client, "id" + std::to_string(client), use_case, now + 5 * kSecond, 0,
+                                 1, nullptr, 0, key);
+  }
+  // One of an earlier run that nobody knows the end of, at an executor of the small fleet.
+  recovery::AttemptRecord in_doubt(const std::string& key, int executor, Time sent = kNow) {
+    recovery::AttemptRecord record;
+    record.number = {1, 1};
+    record.idempotency_key = key;
+    record.use_case = "phase-run";
+    record.executor = "s-" + std::to_string(executor);
+    record.zone = executor % 2 == 0 ? "a" : "b";
+    record.cell = executor;
+    record.sent = sent;
+    record.window = window();
+    return record;
+  }
+  Time window() const { return small_settings().use_cases[kKeyed].window; }
+  const FakeEffects::Launched& last() const { return core.effects.launches.back(); }
+  RecordingStore store;
+  std::vector<std::string> notes;
+  recovery::NodeRecovery parts{
+      recovery::MembershipGuard({}), {}, {}, nullptr, 0, [this](const std::string& line) {
+        notes.push_back(line);
+      }};
+  Core core{4};
+};
+
+TEST_F(NodeRecoveryTest, OnlyAttemptsThatMustNotTakeEffectTwiceHaveARecord) {
+  arrive(1, 0, "");
+  EXPECT_EQ(last().record, nullptr);
+  arrive(2, kKeyed, "key");
+  ASSERT_NE(last().record, nullptr);
+  EXPECT_EQ(last().record->idempotency_key, "key");
+  EXPECT_EQ(last().record->number, (recovery::AttemptNumber{2, last().id}));
+  EXPECT_EQ(last().record->window, window());
+  arrive(3, kSingleUse, "");
+  ASSERT_NE(last().record, nullptr);
+  EXPECT_EQ(last().record->idempotency_key, "");
+  EXPECT_EQ(last().record->request_id, "id3");
+}
+
+TEST_F(NodeRecoveryTest, WithoutRecoveryNothingHasARecord) {
+  Core plain(4);
+  plain.arrive(1, kKeyed);
+  EXPECT_EQ(plain.effects.launches.back().record, nullptr);
+}
+
+TEST_F(NodeRecoveryTest, ARecordGoesWhereTheAttemptNeverRanAndIsMarkedWhereItsClientWasAnswered) {
+  arrive(1, kKeyed, "key");
+  const Id first = last().id;
+  core.end(first, Outcome::kTurnedAway, kNow + 10);
+  EXPECT_EQ(store.forgotten, (std::vector<recovery::AttemptNumber>{{2, first}}));
+  const Id second = last().id;
+  ASSERT_NE(second, first);
+  core.end(second, Outcome::kSatisfied, kNow + 20);
+  EXPECT_EQ(store.ended, (std::vector<recovery::AttemptNumber>{{2, second}}));
+}
+
+TEST_F(NodeRecoveryTest, ARepeatOfAnAttemptInDoubtGoesToItsGroupAlone) {
+  for (int executor = 0; executor < 4; ++executor) {
+    parts.attempts.emplace(recovery::AttemptLogSettings{});
+    parts.attempts->restore({in_doubt("key", executor)});
+    const std::size_t before = core.effects.launches.size();
+    arrive(static_cast<Id>(10 + executor), kKeyed, "key", kNow + kSecond);
+    ASSERT_EQ(core.effects.launches.size(), before + 1);
+    const std::string address = last().address;
+    const int to = address.back() - '0';
+    EXPECT_EQ(to % 2, executor % 2) << address;  // its zone
+    EXPECT_LE(last().write_by, kNow + window());
+    core.end(last().id, Outcome::kSatisfied, kNow + kSecond + 10);
+  }
+}
+
+TEST_F(NodeRecoveryTest, AnotherKeyIsNotBound) {
+  parts.attempts->restore({in_doubt("key", 0, kNow - window())});
+  arrive(1, kKeyed, "other");
+  EXPECT_EQ(core.effects.launches.size(), 1u);
+  EXPECT_TRUE(core.effects.answers.empty());
+}
+
+TEST_F(NodeRecoveryTest, OutsideTheWindowARepeatIsAnsweredAsFailedAtOnce) {
+  parts.attempts->restore({in_doubt("key", 0, kNow - window())});
+  arrive(1, kKeyed, "key");
+  EXPECT_TRUE(core.effects.launches.empty());
+  ASSERT_EQ(core.effects.answers.size(), 1u);
+  EXPECT_EQ(core.effects.answers[0].second, Answer::kAborted);
+  // Its place can be used again.
+  arrive(2, kKeyed, "fresh");
+  EXPECT_EQ(core.effects.launches.size(), 1u);
+}
+
+TEST_F(NodeRecoveryTest, WhereNobodyWouldRecogniseItARepeatIsAnsweredAsFailedAtOnce) {
+  recovery::AttemptRecord elsewhere = in_doubt("key", 9);
+  elsewhere.zone = "c";
+  elsewhere.cell = 99;
+  recovery::AttemptRecord moved = in_doubt("moved", 0);
+  moved.number = {1, 2};
+  moved.zone = "b";
+  parts.attempts->restore({elsewhere, moved});
+  arrive(1, kKeyed, "key");
+  arrive(2, kKeyed, "moved");
+  EXPECT_TRUE(core.effects.launches.empty());
+  ASSERT_EQ(core.effects.answers.size(), 2u);
+  EXPECT_EQ(core.effects.answers[0].second, Answer::kAborted);
+  EXPECT_EQ(core.effects.answers[1].second, Answer::kAborted);
+}
+
+TEST_F(NodeRecoveryTest, ARepeatWithinOneLifeIsBoundToo) {
+  arrive(1, kKeyed, "key");
+  const std::string address = last().address;
+  core.node.client_closed(kNow + 5, 1);
+  core.end(last().id, Outcome::kCancelled, kNow + 10);
+  arrive(2, kKeyed, "key", kNow + 20);
+  EXPECT_EQ((last().address.back() - address.back()) % 2, 0);  // one zone
+}
+
+TEST_F(NodeRecoveryTest, AFullLogLetsAttemptsGoWithALine) {
+  parts.attempts.emplace(recovery::AttemptLogSettings{.most_records = 1});
+  arrive(1, kKeyed, "a");
+  EXPECT_NE(last().record, nullptr);
+  arrive(2, kKeyed, "b");
+  EXPECT_EQ(last().record, nullptr);
+  ASSERT_EQ(notes.size(), 1u);
+  EXPECT_NE(notes[0].find("full"), std::string::npos);
+}
+
+TEST_F(NodeRecoveryTest, TheListIsKeptOnceItHasChangedAndReadAsItWas) {
+  core.list(2, Standing::kDraining);
+  core.list(3, Standing::kGone);
+  core.node.roster_arrived(kNow, RosterForm::kChanges, 7);
+  core.run_until(kNow + kSecond / 2);
+  ASSERT_EQ(store.lists.size(), 1u);
+  EXPECT_EQ(store.lists[0].generation, 7u);
+  EXPECT_EQ(store.lists[0].discovery, "discovery:1");
+  rapidjson::Document list;
+  list.Parse(store.lists[0].content.c_str());
+  ASSERT_TRUE(list.IsObject()) << store.lists[0].content;
+  ASSERT_EQ(list["instances"].Size(), 3u);
+  EXPECT_STREQ(list["instances"][2]["instanceId"].GetString(), "s-2");
+  EXPECT_STREQ(list["instances"][2]["lifecycle"].GetString(), "leaving");
+  core.run_until(kNow + 3 * kSecond);
+  EXPECT_EQ(store.lists.size(), 1u);  // nothing has changed
+  EXPECT_EQ(store.learned.size(), 1u);
+  core.run_until(kNow + 6 * kSecond);
+  EXPECT_EQ(store.learned.size(), 2u);
+}
+
+TEST_F(NodeRecoveryTest, MembersThatAShortListHoldsAreRemovedWhenItsHoldIsOver) {
+  parts.membership.call_started("discovery:1");
+  const auto verdict = core.node.list_told(kNow, {5, true, 1}, false);
+  ASSERT_EQ(verdict, recovery::ListVerdict::kApplyWithoutRemovals);
+  core.node.hold_members();
+  core.list(0, Standing::kReady);
+  core.node.roster_arrived(kNow, RosterForm::kChanges, 5);
+  const auto standing = [&](int executor) { return core.node.policy().executors[executor].standing; };
+  core.run_until(kNow + 14 * kSecond);
+  EXPECT_EQ(standing(1), Standing::kReady);
+  core.run_until(kNow + 16 * kSecond);
+  EXPECT_EQ(standing(0), Standing::kReady);
+  for (const int gone : {1, 2, 3}) EXPECT_EQ(standing(gone), Standing::kGone) << gone;
+}
+
+TEST_F(NodeRecoveryTest, WhatWasLearnedFadesAndGoesWithARestartOfItsExecutor) {
+  // The first takes four times as long as the second; the others are not known.
+  rapidjson::Document knowledge;
+  knowledge.Parse(core.node.knowledge(kNow).c_str());
+  for (const auto& [executor, latency] : {std::pair(0u, 4.0), {1u, 1.0}}) {
+    knowledge["executors"][executor]["work"].SetDouble(1);
+    knowledge["executors"][executor]["latency"].SetDouble(latency);
+  }
+  const auto speed = [](const Core& one, int executor) {
+    return one.node.policy().speed(one.node.policy().executors[executor]);
+  };
+  const double apart = 4;
+  Core fresh(4), faded(4);
+  recovery::NodeRecovery none{recovery::MembershipGuard({}), {}, {}, nullptr, 0, [](const std::string&) {}};
+  fresh.node.use_recovery(none);
+  faded.node.use_recovery(none);
+  fresh.node.restore_learned(kNow, knowledge, 0);
+  EXPECT_NEAR(speed(fresh, 1) / speed(fresh, 0), apart, 0.01 * apart);
+  faded.node.restore_learned(kNow, knowledge, none.learned.fade);
+  const double left = speed(faded, 1) / speed(faded, 0);
+  EXPECT_GT(left, 1);
+  EXPECT_LT(left, 0.8 * apart);
+  // One that has started since is as if nobody had ever heard of it.
+  fresh.node.executor_listed(kNow, "s-0", "host:0", "a", "m", 0, Standing::kReady, kNow - 1);
+  EXPECT_EQ(fresh.node.policy().executors[0].latency, 0);
+  EXPECT_GT(fresh.node.policy().executors[1].latency, 0);
+}
+
+}  // namespace
+}  // namespace canvasstage
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -191,7 +191,7 @@
     now += 4000;
   }
   from.node.stop(now);
-  to.node.knowledge_taken_over(kNow, parsed(from.effects.handed_knowledge));
+  to.node.knowledge_taken_over(kNow, parsed(from.effects.handed_knowledge), kNow);
   for (int i = 0; i < 2; ++i) {
     EXPECT_NEAR(to.node.policy().speed(to.node.policy().executors[i]),
                 from.node.policy().speed(from.node.policy().executors[i]), 1e-9);
@@ -199,7 +199,7 @@
   EXPECT_EQ(to.node.policy().work_of(0), from.node.policy().work_of(0));
   EXPECT_NE(to.node.policy().work_of(0), 1.0);
   for (const char* const broken : {"{}", "[]", R"({"executors":5})", R"({"executors":[{"id":5}]})"})
-    EXPECT_THROW(to.node.knowledge_taken_over(kNow, parsed(broken)), BadInput) << broken;
+    EXPECT_THROW(to.node.knowledge_taken_over(kNow, parsed(broken), kNow), BadInput) << broken;
 }
 
 // What the process before sent to a cold executor counts for both: rule 4 holds for the node.
@@ -213,7 +213,7 @@
   from.arrive(5, 0);
   ASSERT_EQ(from.effects.launches.size(), 1u);
   from.node.stop(kNow + 20);
-  to.node.knowledge_taken_over(kNow + 20, parsed(from.effects.handed_knowledge));
+  to.node.knowledge_taken_over(kNow + 20, parsed(from.effects.handed_knowledge), kNow + 20);
   EXPECT_EQ(to.node.policy().executors[0].cold_sends.size(), 1u);
 }
 
