Tests of several real nodes that lose power together, on a disk that loses and tears

Cause: the store, the membership guard and the attempt log were shown without processes or faults between them. Change: canvasstage-lossy is the program on a SQLite VFS that keeps unsynced writes in the process and lets a share of the sectors through; tests/fleet_recovery_test.cpp and fleet_store_test.cpp start nodes, executors, discovery and clients, cut links, lose power twice and return in six orders. A store opened for reading alone is said to be so.

--- a/lab/fleet/fleet.cpp
+++ b/lab/fleet/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
@@ -22,6 +24,17 @@
   return std::string(beginning).append(std::to_string(number));
 }
 
+// A loopback network of this process's own, so that several fleets do not take each other's addresses.
+std::string network(const char* kind) {
+  constexpr int kFirst = 32, kNetworks = 192;
+  return numbered("127.", kFirst + ::getpid() % kNetworks) + "." + kind + ".";
+}
+constexpr const char* kNodes = "1";
+constexpr const char* kDiscovery = "2";
+constexpr const char* kExecutors = "3";
+constexpr const char* kDiscoveryLinks = "4";
+constexpr const char* kExecutorLinks = "5";
+
 // An address of this host that nobody uses now; whoever listens there later is told of it by its number
 // alone.
 std::string free_address(const std::string& host) {
@@ -42,7 +55,7 @@
 
 Programs programs_beside() {
   const std::filesystem::path folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
-  return {folder / "canvasstage", folder / "canvasstage-standin"};
+  return {folder / "canvasstage", folder / "canvasstage-standin", folder / "canvasstage-lossy"};
 }
 
 Fleet::Fleet(FleetPlan plan)
@@ -50,20 +63,27 @@
       folder_("/tmp/canvasstage-fleet-XXXXXX"),
       ledger_(zones_of(plan_.executors), plan_.window) {
   if (mkdtemp(folder_.data()) == nullptr) throw BadStandin("no folder for the fleet");
-  discovery_address_ = free_address("127.41.0.1");
-  for (int i = 0; i < plan_.nodes; ++i) node_addresses_.push_back(free_address(numbered("127.40.0.", 1 + i)));
+  discovery_address_ = free_address(network(kDiscovery) + "1");
+  for (int i = 0; i < plan_.nodes; ++i)
+    node_addresses_.push_back(free_address(numbered(network(kNodes).c_str(), 1 + i)));
   for (int i = 0; i < plan_.executors; ++i)
-    executor_addresses_.push_back(free_address(numbered("127.42.0.", 1 + i)));
+    executor_addresses_.push_back(free_address(numbered(network(kExecutors).c_str(), 1 + i)));
   start_proxies();
   nodes_.resize(static_cast<std::size_t>(plan_.nodes));
 }
 
 Fleet::~Fleet() {
-  lose_power(Scope::kAll);
+  // Nothing is called back from here on: whoever asked may be gone.
+  nodes_.clear();
+  for (auto* const standin : {&clients_, &executors_, &discovery_, &proxies_}) standin->reset();
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
 
+std::vector<std::string> Fleet::lossy_disk(std::uint64_t seed, double tear) {
+  return {"LAB_DISK_SEED=" + std::to_string(seed), "LAB_DISK_TEAR=" + std::to_string(tear)};
+}
+
 std::unique_ptr<Fleet::Standin> Fleet::start_standin(std::vector<std::string> arguments,
                                                      std::function<void(const std::string&)> told) {
   const std::string role = arguments.front();
@@ -89,9 +109,10 @@
     arguments.push_back(host + ":0");
     arguments.push_back(target);
   };
-  for (int i = 0; i < plan_.nodes; ++i) link(numbered("127.43.0.", 1 + i), discovery_address_);
+  for (int i = 0; i < plan_.nodes; ++i)
+    link(numbered(network(kDiscoveryLinks).c_str(), 1 + i), discovery_address_);
   for (int i = 0; i < plan_.executors && plan_.proxied_executors; ++i)
-    link(numbered("127.44.0.", 1 + i), executor_addresses_[i]);
+    link(numbered(network(kExecutorLinks).c_str(), 1 + i), executor_addresses_[i]);
   proxies_ = start_standin(std::move(arguments), [this](const std::string&) { ++faults_told_; });
   std::istringstream words(proxies_->ready);
   std::string address;
@@ -169,16 +190,26 @@
   return folder_ + numbered("/store-", node);
 }
 
-std::string Fleet::write_recovery_settings(int node) const {
-  const std::string path = folder_ + numbered("/recovery-", node) + ".toml";
-  std::ofstream(path) << "[store]\ndirectory = \"" << store_folder(node) << "\"\n" << plan_.recovery_tables;
-  return path;
+std::string Fleet::recovery_settings_path(int node) const {
+  return folder_ + numbered("/recovery-", node) + ".toml";
+}
+
+void Fleet::write_recovery_settings(int node) const {
+  std::ofstream(recovery_settings_path(node)) << "[store]\ndirectory = \"" << store_folder(node) << "\"\n"
+                                              << plan_.recovery_tables;
+}
+
+void Fleet::reload_node(int node) {
+  nodes_[node]->reload(configuration(node));
 }
 
 void Fleet::start_node(int node) {
   std::vector<std::string> environment;
   if (plan_.environment) environment = plan_.environment(node);
-  if (plan_.recovery) environment.push_back("NODE_RECOVERY=" + write_recovery_settings(node));
+  if (plan_.recovery) {
+    write_recovery_settings(node);
+    environment.push_back("NODE_RECOVERY=" + recovery_settings_path(node));
+  }
   nodes_[node] = std::make_unique<NodeProcess>(loop_, plan_.programs.node, configuration(node), environment);
 }
 
--- a/lab/fleet/fleet.h
+++ b/lab/fleet/fleet.h
@@ -18,6 +18,7 @@
 
 struct Programs {
   std::string node, standin;
+  std::string node_on_lossy_disk;
 };
 // Those beside this program.
 Programs programs_beside();
@@ -49,6 +50,9 @@
   Fleet(const Fleet&) = delete;
   ~Fleet();
 
+  // On a disk of its node's own that loses and tears what was not synced.
+  static std::vector<std::string> lossy_disk(std::uint64_t seed, double tear);
+
   // Each returns once the process is ready.
   void start_discovery(std::uint64_t generation, const std::vector<ListedExecutor>& list);
   void start_executors();
@@ -86,8 +90,12 @@
   NodeProcess& node(int node) { return *nodes_[node]; }
   const EffectLedger& ledger() const { return ledger_; }
   std::uint64_t discovery_calls();
+  std::string node_log(int node) const { return nodes_[node] ? nodes_[node]->log() : std::string(); }
   // Where a node keeps its store.
   std::string store_folder(int node) const;
+  std::string recovery_settings_path(int node) const;
+  // SIGHUP, with the configuration as it was.
+  void reload_node(int node);
   const FleetPlan& plan() const { return plan_; }
 
  private:
@@ -98,7 +106,7 @@
   std::unique_ptr<Standin> start_standin(std::vector<std::string> arguments,
                                          std::function<void(const std::string&)> told);
   std::string configuration(int node) const;
-  std::string write_recovery_settings(int node) const;
+  void write_recovery_settings(int node) const;
   void start_proxies();
   void set_link(std::size_t link, LinkFault fault, int delay_ms);
 
--- a/src/storage/database.cpp
+++ b/src/storage/database.cpp
@@ -98,6 +98,8 @@
   database_.reset(opened);
   if (code != SQLITE_OK) fail(code);
   sqlite3_extended_result_codes(opened, 1);
+  if (sqlite3_db_readonly(opened, "main") == 1)
+    throw StoreError(Defect::kReadOnly, path_ + ": opened for reading alone");
 }
 
 void Database::fail(int code) const {
