--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 JOBS ?= 4
 SOURCES = $(wildcard src/*.h src/*.cpp src/*/*.h src/*/*.cpp lab/*.cpp lab/*/*.h lab/*/*.cpp tests/*.h tests/*.cpp)
 
-.PHONY: build lab test lint run clean
+.PHONY: build lab test lint tidy run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -23,13 +23,18 @@
 	cmake --build build-tsan -j$(JOBS)
 	TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan --output-on-failure -j$(JOBS) -R '^(Program|Storage)'
 
-lint:
+lint: tidy
 	clang-format --dry-run --Werror $(SOURCES)
 	@! grep -nE '^.{111,}' $(SOURCES) || (echo 'lines over 110 characters'; exit 1)
 
+# clang-tidy with the checks of .clang-tidy; what it finds is an error.
+tidy:
+	cmake -B build-tidy -DCMAKE_BUILD_TYPE=Release -DCANVASSTAGE_LAB=ON -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
+	ls src/*.cpp src/*/*.cpp lab/*.cpp lab/*/*.cpp | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p build-tidy
+
 # One node; NODE_CONFIG names its configuration (README).
 run: build
 	exec build/canvasstage
 
 clean:
-	rm -rf build build-ci build-tsan
+	rm -rf build build-ci build-tsan build-tidy
--- a/lab/fleet/fleet.cpp
+++ b/lab/fleet/fleet.cpp
@@ -47,6 +47,7 @@
 
 std::vector<std::string> zones_of(int executors) {
   std::vector<std::string> zones;
+  zones.reserve(static_cast<std::size_t>(executors));
   for (int i = 0; i < executors; ++i) zones.push_back(zone_of(i, executors));
   return zones;
 }
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "experiment/experiment.h"
+#include "fleet/attempt_cost.h"
 #include "fleet/power_loss.h"
 #include "scale/real.h"
 #include "scale/scale.h"
@@ -104,6 +105,28 @@
   return 0;
 }
 
+// The attempt log on and off, on disks that sync fast and slowly.
+int measure_attempt_cost(const std::string& folder, int plays) {
+  std::string table = fleet::attempt_cost_head();
+  std::cout << table << std::flush;
+  constexpr std::pair<bool, double> kDisks[] = {{false, 0}, {true, 0}, {true, 1}, {true, 5}, {true, 20}};
+  for (const double rate : {22.0, 200.0})
+    for (const auto& [logged, sync_ms] : kDisks)
+      for (int seed = 1; seed <= plays; ++seed) {
+        fleet::AttemptCostPlan plan;
+        plan.fleet.programs = fleet::programs_beside();
+        plan.fleet.seed = static_cast<std::uint64_t>(seed);
+        plan.rate = rate;
+        plan.logged = logged;
+        plan.sync_ms = sync_ms;
+        const std::string row = attempt_cost_row(plan, fleet::measure(plan));
+        table += row;
+        std::cout << row << std::flush;
+      }
+  if (!folder.empty()) write_file(folder + "/attempt-cost.txt", table);
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -138,8 +161,13 @@
       ->check(CLI::Range(1, 100));
   power_loss->add_option("--nodes", nodes, "nodes of the fleet")->check(CLI::Range(1, 100));
   power_loss->add_flag("--recovery", recovery, "each node keeps a store of its own");
+  CLI::App* const attempt_cost =
+      app.add_subcommand("attempt-cost", "measures what the attempt log costs a real node");
+  attempt_cost->add_option("--out", folder, "a folder for the table as text");
+  attempt_cost->add_option("--plays", plays, "plays of each row")->check(CLI::Range(1, 100));
   CLI11_PARSE(app, argc, argv);
   try {
+    if (attempt_cost->parsed()) return measure_attempt_cost(folder, plays);
     if (power_loss->parsed()) return measure_power_loss(folder, program, plays, nodes, recovery);
     if (scaling_real->parsed()) return measure_real(file, folder, program, quiet);
     if (running->parsed()) return run(file, folder, quiet);
--- a/lab/scale/real_plan.cpp
+++ b/lab/scale/real_plan.cpp
@@ -56,7 +56,7 @@
   }
   std::string one_of(const toml::node& node, const std::string& field,
                      std::initializer_list<std::string_view> words) const {
-    const std::string word = text(node, field);
+    std::string word = text(node, field);
     if (std::ranges::find(words, word) == words.end()) bad(field, word + " is not known");
     return word;
   }
--- a/lab/standins/child_process.cpp
+++ b/lab/standins/child_process.cpp
@@ -13,6 +13,7 @@
 
 std::vector<char*> pointers_to(std::vector<std::string>& words) {
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (std::string& word : words) pointers.push_back(word.data());
   pointers.push_back(nullptr);
   return pointers;
--- a/lab/standins/clients.cpp
+++ b/lab/standins/clients.cpp
@@ -28,13 +28,13 @@
 
 Clients::ConnectionRef Clients::connection() {
   if (!idle_.empty()) {
-    const ConnectionRef last = idle_.back();
+    ConnectionRef last = idle_.back();
     idle_.pop_back();
     return last;
   }
   net::Socket socket = connect_now(node_);
   if (!socket.open()) return nullptr;
-  const auto fresh = std::make_shared<Connection>();
+  auto fresh = std::make_shared<Connection>();
   fresh->stream = std::make_shared<Stream>(loop_, std::move(socket), traffic);
   all_.emplace(fresh.get(), fresh);
   fresh->stream->start([this, weak = std::weak_ptr(fresh)](Stream&) {
--- a/src/app/recovery_settings.cpp
+++ b/src/app/recovery_settings.cpp
@@ -89,7 +89,7 @@
   settings.log_attempts = reader.flag("enabled", settings.log_attempts);
   attempts.keep_after_window = to_time(reader.number("keep_after_window_s", 60, 0, 86400));
   attempts.most_records = static_cast<std::size_t>(
-      reader.whole("max_records", static_cast<int>(attempts.most_records), 1, 1000000));
+      reader.whole("max_records", static_cast<int>(attempts.most_records), 1, 100000));
   reader.refuse_unknown();
 }
 
--- a/src/app/recovery_wiring.cpp
+++ b/src/app/recovery_wiring.cpp
@@ -43,6 +43,13 @@
   }
 }
 
+RecoveryWiring::~RecoveryWiring() {
+  if (!writer_) return;
+  const std::uint64_t commits = writer_->commits();
+  writer_.reset();
+  net::log_note("recovery: commits of the store: " + std::to_string(commits));
+}
+
 std::uint64_t RecoveryWiring::generation() const {
   return restored_.list ? restored_.list->generation : 0;
 }
@@ -57,11 +64,13 @@
 
 void RecoveryWiring::restore_list(Node& node, Time now, const JsonValue& known,
                                   const std::string& discovery) {
-  if (!restored_.list) {
-    if (known.IsNull()) return;
-    parts_.membership.restore(discovery, net::check_list(known));
-    return net::take_list(node, now, known, net::ListUse::kRemembered);
-  }
+  if (restored_.list && restore_kept_list(node, now)) return;
+  if (known.IsNull()) return;
+  parts_.membership.restore(discovery, net::check_list(known));
+  net::take_list(node, now, known, net::ListUse::kRemembered);
+}
+
+bool RecoveryWiring::restore_kept_list(Node& node, Time now) {
   try {
     rapidjson::Document list;
     list.Parse<net::kNotRecursive>(restored_.list->content.data(), restored_.list->content.size());
@@ -73,8 +82,10 @@
                   (dated ? " told " + seconds_words(now - restored_.list->told) + " ago"
                          : " of an age that is not known") +
                   ", " + std::to_string(list["instances"].Size()) + " executors");
+    return true;
   } catch (const BadInput& input) {
     net::log_note(std::string("recovery: the list that was kept is not taken: ") + input.what());
+    return false;
   }
 }
 
@@ -96,10 +107,13 @@
 
 void RecoveryWiring::restore_attempts(Time now) {
   if (!parts_.attempts) return;
+  const std::size_t unknown = restored_.attempts_of_unknown_age;
+  if (unknown > 0)
+    net::log_note("recovery: " + std::to_string(unknown) +
+                  " attempts of an age that is not known: their window counts as over");
   parts_.attempts->restore(std::move(restored_.attempts));
   parts_.store->forget(parts_.attempts->expire(now));
-  net::log_note("recovery: " + std::to_string(parts_.attempts->in_doubt()) + " attempts in doubt, " +
-                std::to_string(restored_.attempts_of_unknown_age) + " of them or answered of unknown age");
+  net::log_note("recovery: " + std::to_string(parts_.attempts->in_doubt()) + " attempts in doubt");
   const std::vector<const recovery::AttemptRecord*> unsettled = parts_.attempts->unrecognisable();
   for (std::size_t i = 0; i < std::min(unsettled.size(), kMostListed); ++i)
     net::log_note("recovery: in doubt and not repeatable: request " + unsettled[i]->request_id + " of " +
--- a/src/app/recovery_wiring.h
+++ b/src/app/recovery_wiring.h
@@ -14,7 +14,9 @@
  public:
   // Opens the store. One that cannot be used is a line of the log, and the node serves without it.
   RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now);
-  recovery::NodeRecovery& parts() { return parts_; }
+  RecoveryWiring(const RecoveryWiring&) = delete;
+  // Writes what is left, and says how often it wrote.
+  ~RecoveryWiring();
   recovery::Store* store() { return writer_.get(); }
   // The generation of the list that was kept; 0: none was.
   std::uint64_t generation() const;
@@ -23,6 +25,7 @@
 
  private:
   void restore_list(Node& node, Time now, const JsonValue& known, const std::string& discovery);
+  bool restore_kept_list(Node& node, Time now);
   void restore_learned(Node& node, Time now);
   void restore_attempts(Time now);
 
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -134,7 +134,7 @@
   const Id id = ++last_client_;
   ++clients_open_;
   std::string peer = socket.peer();
-  const auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
+  auto client = std::make_shared<ClientConnection>(id, std::move(socket), std::move(peer), world_);
   client->go_on(fresh, opened, keep_alive, open, std::move(carry));
   clients_.emplace(id, client);
   world_.node->client_opened(now, id);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -318,7 +318,7 @@
   const bool started = pthread_create(&thread, &attributes, run_thread, argument.get()) == 0;
   pthread_attr_destroy(&attributes);
   if (started) {
-    argument.release();
+    static_cast<void>(argument.release());  // the thread owns it now
     return true;
   }
   const std::lock_guard lock(threads().mutex);
--- a/src/storage/node_store.cpp
+++ b/src/storage/node_store.cpp
@@ -73,7 +73,7 @@
   if (::mkdir(settings.directory.c_str(), 0700) != 0 && errno != EEXIST)
     throw StoreError(errno == EROFS || errno == EACCES ? Defect::kReadOnly : Defect::kSystem,
                      settings.directory + ": " + std::strerror(errno));
-  const std::string path = settings.directory + "/" + kStoreFile;
+  std::string path = settings.directory + "/" + kStoreFile;
   struct stat file {};
   if (::stat(path.c_str(), &file) != 0) {
     make(path, node);
