--- a/lab/emulator/dispatchers.cpp
+++ b/lab/emulator/dispatchers.cpp
@@ -9,7 +9,7 @@
 namespace canvasstage::lab {
 namespace {
 
-struct JobParcel final : Parcel {
+struct JobPayload final : Payload {
   std::shared_ptr<const Job> job;
 };
 
@@ -74,11 +74,11 @@
   }
 
   void arrived(const std::shared_ptr<const Job>& job) override {
-    const auto parcel = std::make_shared<JobParcel>();
-    parcel->job = job;
+    const auto payload = std::make_shared<JobPayload>();
+    payload->job = job;
     node_->client_opened(now(), job->client);
     node_->submission_arrived(now(), job->client, std::to_string(job->client), job->use_case, at(job->due), 0,
-                              job->width, parcel);
+                              job->width, payload);
   }
   void client_gone(Id client) override { node_->client_closed(now(), client); }
   void taken(Id launch) override { node_->launch_taken(now(), launch); }
@@ -100,14 +100,14 @@
   }
   void list_refused() override { node_->roster_refused(now()); }
 
-  void answer(Id client, Answer answer, const ParcelRef&, Time, After) override {
+  void answer(Id client, Answer answer, const PayloadRef&, Time, After) override {
     emulator_.answer(index_, client, answer);
   }
   void close_client(Id, bool) override {}
   void end_client(Id, bool) override {}
   void launch(const AttemptOrder& order) override {
     emulator_.launch(index_, order.attempt, order.over, std::stoi(order.address),
-                     static_cast<const JobParcel&>(*order.request).job);
+                     static_cast<const JobPayload&>(*order.request).job);
   }
   void give_up(Id launch) override { emulator_.give_up(index_, launch); }
   void withdraw(Id) override {}  // each launch has gone at once
--- a/lab/scale/hollow.cpp
+++ b/lab/scale/hollow.cpp
@@ -66,7 +66,7 @@
     : size_(size),
       settings_(settings_for(size)),
       terms_(terms_for(size)),
-      parcel_(std::make_shared<Parcel>()) {}
+      payload_(std::make_shared<Payload>()) {}
 
 void HollowNode::start(int jobs, std::uint32_t seed) {
   // Clients hold at most half, and those of jobs that have ended stay: descriptors are to bound nothing here.
@@ -107,7 +107,7 @@
   node_->client_opened(++now_, client);
   node_->submission_arrived(now_, client, std::to_string(client),
                             static_cast<int>(client % static_cast<Id>(size_.use_cases)), now_ + kLong, kWork,
-                            1, parcel_);
+                            1, payload_);
 }
 
 void HollowNode::open(Id launch) {
--- a/lab/scale/hollow.h
+++ b/lab/scale/hollow.h
@@ -101,7 +101,7 @@
   void count_looks(Looks& looks);
   Told kind_of(std::uint64_t token) const;
 
-  void answer(Id, Answer, const ParcelRef&, Time, After) override { ++messages_; }
+  void answer(Id, Answer, const PayloadRef&, Time, After) override { ++messages_; }
   void close_client(Id, bool) override { ++messages_; }
   void end_client(Id, bool) override { ++messages_; }
   void launch(const AttemptOrder& order) override;
@@ -128,7 +128,7 @@
   Id last_client_ = 0;
   std::vector<Id, Uncounted<Id>> launched_;
   std::priority_queue<Timer, std::vector<Timer, Uncounted<Timer>>, std::greater<>> timers_;
-  ParcelRef parcel_;
+  PayloadRef payload_;
   std::unique_ptr<Node> node_;
 };
 
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -17,10 +17,10 @@
 using Id = std::uint64_t;
 
 // What a client handed in or an executor gave back. The core passes it on and never looks inside.
-struct Parcel {
-  virtual ~Parcel() = default;
+struct Payload {
+  virtual ~Payload() = default;
 };
-using ParcelRef = std::shared_ptr<const Parcel>;
+using PayloadRef = std::shared_ptr<const Payload>;
 
 // One launch of a submission that goes on in another process of this node, and its executor by name.
 struct MovedLaunch {
@@ -28,7 +28,7 @@
   int cell = -1;
   Time executor_started = 0;
   Launch launch;
-  ParcelRef reading;  // how far its answer has been read; none where it has ended
+  PayloadRef reading;  // how far its answer has been read; none where it has ended
 };
 
 // An open submission that goes on in another process of this node. Times are this process's.
@@ -37,7 +37,7 @@
   std::string id, use_case, machine_kind;
   UseCase terms;
   Submission state;  // without its launches
-  ParcelRef submission;
+  PayloadRef submission;
   std::vector<MovedLaunch> launches;
 };
 
@@ -46,7 +46,7 @@
   Id attempt = 0;
   Id over = 0;  // the attempt that left the connection free which it uses up; 0: a new connection
   std::string address;
-  ParcelRef request;
+  PayloadRef request;
   Time give_up_at = 0;
   Time write_by = kNever;  // one whose first byte is not written by then never goes
   // What has to survive a power loss before the first byte is written; none where nothing has to.
@@ -62,7 +62,7 @@
  public:
   virtual ~Effects() = default;
   // The final answer of the submission that the client has open.
-  virtual void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) = 0;
+  virtual void answer(Id client, Answer answer, const PayloadRef& result, Time stay_away, After after) = 0;
   // One that has nothing open. What has come is still handed in; `finishes`: also what is half written, else
   // that is pushed back.
   virtual void close_client(Id client, bool finishes) = 0;
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -254,7 +254,7 @@
   place.free.clear();
 }
 
-void Node::launch_parked(Time now, Id launch, ParcelRef reading) {
+void Node::launch_parked(Time now, Id launch, PayloadRef reading) {
   now_ = now;
   const auto found = running_.find(launch);
   if (found == running_.end()) return;
@@ -276,7 +276,7 @@
   job.use_case = terms_.use_cases[entry.use_case];
   job.terms = settings_.use_cases[entry.use_case];
   job.machine_kind = name_of(terms_.machine_kinds, job.terms.machine_kind);
-  job.submission = entry.parcel;
+  job.submission = entry.payload;
   job.state = state;
   job.state.launches.clear();
   job.state.due = entry.due;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -112,7 +112,7 @@
 }
 
 void Node::submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
-                              int width, ParcelRef submission, std::uint64_t key,
+                              int width, PayloadRef submission, std::uint64_t key,
                               const std::string& idempotency_key) {
   now_ = now;
   const auto found = clients_.find(client);
@@ -132,7 +132,7 @@
   if (handing_over_) hand_over_if_ready(index);
 }
 
-int Node::new_entry(Id client, const std::string& id, int use_case, Time due, ParcelRef submission) {
+int Node::new_entry(Id client, const std::string& id, int use_case, Time due, PayloadRef submission) {
   int index = static_cast<int>(entries_.size());
   if (unused_.empty()) {
     entries_.emplace_back();
@@ -146,7 +146,7 @@
   Entry& entry = entries_[index];
   entry.client = client;
   entry.id = id;
-  entry.parcel = std::move(submission);
+  entry.payload = std::move(submission);
   entry.launches.clear();
   entry.use_case = use_case;
   entry.due = due;
@@ -168,7 +168,7 @@
                                      : line.aborted);
 }
 
-void Node::answer(int submission, Answer answer, const ParcelRef& result, Time stay_away) {
+void Node::answer(int submission, Answer answer, const PayloadRef& result, Time stay_away) {
   Entry& entry = entries_[submission];
   if (entry.ended) return;
   entry.ended = true;
@@ -196,7 +196,7 @@
   Entry& entry = entries_[submission];
   if (!entry.ended || entry.pending > 0 || entry.client == 0) return;
   entry.client = 0;
-  entry.parcel.reset();
+  entry.payload.reset();
   entry.idempotency_key.clear();
   ids_.erase(entry.id);
   unused_.push_back(submission);
@@ -308,7 +308,7 @@
   const Time write_by = window_end == kNever
                             ? kNever
                             : window_end - settings_.quantum - policy_.delay(policy_.executors[executor]);
-  AttemptOrder order{id, over, place.address, entry.parcel, give_up_at, write_by, nullptr};
+  AttemptOrder order{id, over, place.address, entry.payload, give_up_at, write_by, nullptr};
   if (logs_attempts(entry.use_case)) order.record = log_attempt(id, submission, executor);
   effects_.launch(order);
   effects_.wake_at(give_up_at, kLaunchToken | id);
@@ -365,7 +365,8 @@
   policy_.launch_progressed(now, found->second.submission, found->second.number, share_done);
 }
 
-void Node::launch_ended(Time now, Id launch, Outcome outcome, ParcelRef result, bool kept, const Load* load) {
+void Node::launch_ended(Time now, Id launch, Outcome outcome, PayloadRef result, bool kept,
+                        const Load* load) {
   now_ = now;
   const auto found = running_.find(launch);
   if (found == running_.end()) return;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -46,7 +46,7 @@
   // `due` counts from the client's sending; `use_case` is an index of the settings. One whose id is open
   // already, or may be at an executor still, is rejected: passed on it would be a second copy.
   void submission_arrived(Time now, Id client, const std::string& id, int use_case, Time due, double hint,
-                          int width, ParcelRef submission, std::uint64_t key = 0,
+                          int width, PayloadRef submission, std::uint64_t key = 0,
                           const std::string& idempotency_key = {});
 
   // Answered before a word of it was kept, for want of a buffer.
@@ -56,7 +56,7 @@
   void launch_started(Time now, Id launch);
   void launch_progressed(Time now, Id launch, double share_done);
   // `kept`: its connection can carry another.
-  void launch_ended(Time now, Id launch, Outcome outcome, ParcelRef result, bool kept, const Load* load);
+  void launch_ended(Time now, Id launch, Outcome outcome, PayloadRef result, bool kept, const Load* load);
 
   // The roster: one call for each entry, then one that closes the list.
   void executor_listed(Time now, std::string_view id, std::string_view address, std::string_view zone,
@@ -82,7 +82,7 @@
   // Another one runs beside this, or no more: what this one may have of the descriptors.
   void limits_shared(Time now, int sixteenths);
   // It waits for its executor and reads no more; `reading` is how far it came.
-  void launch_parked(Time now, Id launch, ParcelRef reading);
+  void launch_parked(Time now, Id launch, PayloadRef reading);
   // What the process before this one knew (as knowledge() gives it), left free, and has open.
   // `as_of`: when it was worded, in this process's time.
   void knowledge_taken_over(Time now, const JsonValue& knowledge, Time as_of);
@@ -133,7 +133,7 @@
     Id client = 0;
     std::string id;
     std::string idempotency_key;  // only where attempts are logged
-    ParcelRef parcel;
+    PayloadRef payload;
     std::vector<Id> launches;
     int use_case = 0;
     Time due = 0;  // as its client said
@@ -154,7 +154,7 @@
   struct Running {
     int submission, number, executor;
     bool cancelled = false, unsent = false;
-    ParcelRef reading = nullptr;  // parked
+    PayloadRef reading = nullptr;  // parked
   };
   struct FreeLink {
     Id launch;
@@ -167,12 +167,12 @@
     bool restored = false;      // what is known of it was learned before a power loss
   };
 
-  int new_entry(Id client, const std::string& id, int use_case, Time due, ParcelRef submission);
+  int new_entry(Id client, const std::string& id, int use_case, Time due, PayloadRef submission);
   int use_case_like(const std::string& name, UseCase terms, const std::string& machine_kind);
   void begin_handover(Time now);
   void hand_over_if_ready(int submission);
   void hand_over_free_links(int executor);
-  void answer(int submission, Answer answer, const ParcelRef& result, Time stay_away);
+  void answer(int submission, Answer answer, const PayloadRef& result, Time stay_away);
   void release_if_over(int submission);
   void withdraw_launches(int submission);
   void close_free_links(int executor);
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -141,7 +141,7 @@
   if (phase_ == Phase::kEnded) socket_.shut(SHUT_RD);  // the thread still waits for the client's end
 }
 
-void ClientConnection::answer(int status, std::string_view extra, const ParcelRef& result, bool closes,
+void ClientConnection::answer(int status, std::string_view extra, const PayloadRef& result, bool closes,
                               bool at_once, Writers& writers) {
   bool last;
   {
@@ -414,8 +414,8 @@
   std::string name(head.field("X-Correlation-Id")), idempotency_key(head.field("Idempotency-Key"));
   world_.reducer.post([&world = world_, id = id_, name = std::move(name),
                        idempotency_key = std::move(idempotency_key), use_case, due = came + left, width, key,
-                       parcel = ParcelRef(std::move(submission))](Time now) {
-    world.node->submission_arrived(now, id, name, use_case, due, 0, width, parcel, key, idempotency_key);
+                       payload = PayloadRef(std::move(submission))](Time now) {
+    world.node->submission_arrived(now, id, name, use_case, due, 0, width, payload, key, idempotency_key);
   });
   return await_answer(reason);
 }
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -49,7 +49,7 @@
   // The reducer's.
   // `closes`: the connection ends with it, or with the last answer to what has already come behind it.
   // `at_once`: with it, whatever has come.
-  void answer(int status, std::string_view extra, const ParcelRef& result, bool closes, bool at_once,
+  void answer(int status, std::string_view extra, const PayloadRef& result, bool closes, bool at_once,
               Writers& writers);
   // Nothing more is to be handed in over it; what has come is served first. `finishes`: also what is half
   // written. Else that is pushed back, and the connection given back at once, as its descriptor is needed.
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -39,7 +39,7 @@
 
 // --- The reducer's side ---
 
-void ExecutorConnection::launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at,
+void ExecutorConnection::launch(Id id, const std::string& address, PayloadRef submission, Time give_up_at,
                                 Time write_by, bool recorded) {
   const std::lock_guard lock(mutex_);
   next_ = Work{id,         address,  std::static_pointer_cast<const Submitted>(std::move(submission)),
@@ -55,7 +55,7 @@
   changed_.notify_one();
 }
 
-void ExecutorConnection::go_on(Id id, const std::string& address, ParcelRef submission,
+void ExecutorConnection::go_on(Id id, const std::string& address, PayloadRef submission,
                                std::shared_ptr<const Reading> reading) {
   const std::lock_guard lock(mutex_);
   socket_ = std::move(reading->socket);
@@ -132,7 +132,7 @@
   return given_up_;
 }
 
-void ExecutorConnection::tell_end(Outcome outcome, ParcelRef result, bool kept, double free_slots,
+void ExecutorConnection::tell_end(Outcome outcome, PayloadRef result, bool kept, double free_slots,
                                   Ending& ending) {
   ending.told = true;
   ending.kept = kept;
@@ -257,7 +257,7 @@
     if (given_up_) return;
     std::swap(reading->socket, socket_);
   }
-  world_.reducer.post([&world = world_, id = work_.id, reading = ParcelRef(std::move(reading))](Time now) {
+  world_.reducer.post([&world = world_, id = work_.id, reading = PayloadRef(std::move(reading))](Time now) {
     world.node->launch_parked(now, id, reading);
   });
 }
@@ -409,7 +409,7 @@
   const JsonValue& id = member(object, "id");
   const bool own = !id.IsString() || text(id, "id") == work_.submission->head.field("X-Correlation-Id");
   const std::string_view word = own && state.IsString() ? text(state, "state") : std::string_view();
-  const auto tell = [&](Outcome outcome, ParcelRef result) {
+  const auto tell = [&](Outcome outcome, PayloadRef result) {
     if (!kept) ending.reason = Reason::kNoReuse;
     tell_end(outcome, std::move(result), kept, free_slots_of(member(object, "load")), ending);
   };
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -17,7 +17,7 @@
 namespace canvasstage::net {
 
 // How far a launch's answer has been read, and the connection that the rest comes on.
-struct Reading final : Parcel {
+struct Reading final : Payload {
   mutable Socket socket;  // whoever goes on takes it
   bool has_head = false;  // then `status` is 200, and `bytes` the beginning of a line
   bool keep_alive = false, reused = false;
@@ -34,14 +34,15 @@
   // The reducer's. One launch at a time; the next one once the last has ended.
   // `write_by`: one that is not being written by then is not written at all. `recorded`: nor is one before
   // its record was told to be written.
-  void launch(Id id, const std::string& address, ParcelRef submission, Time give_up_at,
+  void launch(Id id, const std::string& address, PayloadRef submission, Time give_up_at,
               Time write_by = kNever, bool recorded = false);
   // From any thread: nothing more is waited for where the record of that launch is concerned.
   void record_written(Id id);
   // Gives it up unless its first byte may have gone.
   void withdraw();
   // Goes on where another process stopped, or stands free with its connection.
-  void go_on(Id id, const std::string& address, ParcelRef submission, std::shared_ptr<const Reading> reading);
+  void go_on(Id id, const std::string& address, PayloadRef submission,
+             std::shared_ptr<const Reading> reading);
   void stand_free(Id id, const std::string& address, Socket socket);
   // Its connection, if it stands free; it ends.
   Socket release();
@@ -85,7 +86,7 @@
   void read_tail(http::BodyReader& reader, Ending& ending);
   void take_line(std::string_view line, bool kept, Buffer& buffer, Ending& ending);
   void drop_socket(Reason reason);
-  void tell_end(Outcome outcome, ParcelRef result, bool kept, double free_slots, Ending& ending);
+  void tell_end(Outcome outcome, PayloadRef result, bool kept, double free_slots, Ending& ending);
 
   World& world_;
   const Milliseconds connect_within_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -134,7 +134,7 @@
 
 // --- Effects ---
 
-void Server::answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) {
+void Server::answer(Id client, Answer answer, const PayloadRef& result, Time stay_away, After after) {
   const auto found = clients_.find(client);
   if (found == clients_.end()) return;
   char extra[64] = "";
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -31,7 +31,7 @@
   void end_threads();
   const std::string& failure() const { return failure_; }  // why it could not listen; empty: it could
 
-  void answer(Id client, Answer answer, const ParcelRef& result, Time stay_away, After after) override;
+  void answer(Id client, Answer answer, const PayloadRef& result, Time stay_away, After after) override;
   void close_client(Id client, bool finishes) override;
   void end_client(Id client, bool finishes) override;
   void launch(const AttemptOrder& order) override;
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -34,7 +34,7 @@
 };
 
 // A submission as its client wrote it.
-struct Submitted final : Parcel {
+struct Submitted final : Payload {
   Buffer buffer;
   http::Head head{http::Head::Kind::kRequest};
   std::string_view body;
@@ -43,7 +43,7 @@
 };
 
 // The result that an executor gave.
-struct Result final : Parcel {
+struct Result final : Payload {
   Buffer buffer;
   std::string_view text;
 };
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -118,7 +118,7 @@
   std::string handed_knowledge;
   std::vector<MovedJob> handed_jobs;
   std::vector<Link> handed_links;
-  void answer(Id client, Answer answer, const ParcelRef&, Time, After after) override {
+  void answer(Id client, Answer answer, const PayloadRef&, Time, After after) override {
     answers.emplace_back(client, answer);
     lasts.push_back(after != After::kStay);
   }
@@ -560,11 +560,11 @@
     EXPECT_TRUE(then());
   }
   std::shared_ptr<net::Submitted> submission(const std::string& job) {
-    auto parcel = std::make_shared<net::Submitted>();
-    parcel->buffer = submissions.take();
-    std::copy(job.begin(), job.end(), parcel->buffer.data());
-    parcel->head.read({parcel->buffer.data(), job.size()});
-    return parcel;
+    auto payload = std::make_shared<net::Submitted>();
+    payload->buffer = submissions.take();
+    std::copy(job.begin(), job.end(), payload->buffer.data());
+    payload->head.read({payload->buffer.data(), job.size()});
+    return payload;
   }
   net::BufferPool submissions{8}, launches{8};
   Core core;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -76,7 +76,7 @@
 TEST(Core, OneThatWaitedInVainGivesItsBufferBack) {
   Core core(1);
   core.arrive(5, 0);  // takes the only room
-  const auto waiting = std::make_shared<Parcel>();
+  const auto waiting = std::make_shared<Payload>();
   core.node.client_opened(kNow, 6);
   core.node.submission_arrived(kNow, 6, "six", 0, kNow + kSecond, 0, 1, waiting);
   EXPECT_EQ(waiting.use_count(), 2);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -16,7 +16,7 @@
 
 // --- Without sockets ---
 
-struct ReadingStub : Parcel {};
+struct ReadingStub : Payload {};
 
 Core shared_core(int executors) {
   return Core(executors, 1024, small_settings(), true);
