--- a/lab/emulator/dispatchers.cpp
+++ b/lab/emulator/dispatchers.cpp
@@ -120,7 +120,7 @@
   void open_listener() override {}
   void close_listener() override {}
   void publish(const Figures&) override {}
-  bool has_heir() override { return false; }
+  bool has_successor() override { return false; }
   void begin_handover(std::string) override {}
   void hand_over(const MovedJob&) override {}
   void hand_over_link(Id, const std::string&, const std::string&, Time) override {}
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -83,9 +83,9 @@
   virtual void close_listener() = 0;
   virtual void publish(const Figures& figures) = 0;
   // Whether another process of this node is there to take on what this one has.
-  virtual bool has_heir() = 0;
+  virtual bool has_successor() = 0;
   // From then on each launch is told of as parked as soon as it waits for its executor, and each idle client
-  // goes to the heir by itself.
+  // goes to the successor by itself.
   virtual void begin_handover(std::string knowledge) = 0;
   virtual void hand_over(const MovedJob& job) = 0;
   virtual void hand_over_link(Id launch, const std::string& executor, const std::string& address,
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -585,7 +585,7 @@
     // Whoever connects now is the other process's, and whoever is answered goes there.
     parting_ = true;
     effects_.close_listener();
-    if (effects_.has_heir()) begin_handover(now);
+    if (effects_.has_successor()) begin_handover(now);
   }
   effects_.wake_at(now + std::max(kListenOn, static_cast<Time>(kServeOn * static_cast<double>(left))),
                    kListenerToken);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -99,7 +99,7 @@
   if (shared) {
     upgrade = std::make_unique<net::Upgrade>(c.name, take_over,
                                              [&](bool overlap) { share_limits(overlap ? 8 : 16); });
-    world.heir = upgrade.get();
+    world.successor = upgrade.get();
   }
   const Time start = net::now();
   std::unique_ptr<RecoveryWiring> recovery;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -252,7 +252,7 @@
   const std::lock_guard lock(mutex_);
   if (closes_ || phase_ != Phase::kResting || !socket.open()) return false;
   phase_ = Phase::kMoved;
-  world_.heir->client_moves(std::move(socket), fresh_, now() - opened_);
+  world_.successor->client_moves(std::move(socket), fresh_, now() - opened_);
   reason = Reason::kMoved;
   return true;
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -43,7 +43,7 @@
   void open_listener() override;
   void close_listener() override;
   void publish(const Figures& figures) override { world_.board.publish(figures); }
-  bool has_heir() override { return upgrade_ != nullptr && upgrade_->has_heir(); }
+  bool has_successor() override { return upgrade_ != nullptr && upgrade_->has_successor(); }
   void begin_handover(std::string knowledge) override;
   void hand_over(const MovedJob& job) override;
   void hand_over_link(Id launch, const std::string& executor, const std::string& address,
--- a/src/net/upgrade.cpp
+++ b/src/net/upgrade.cpp
@@ -138,7 +138,7 @@
     listener_ = Socket();
   }
   if (listener_.open()) {
-    start_thread([this] { meet_heirs(); });
+    start_thread([this] { meet_successors(); });
     start_thread([this] { write_out(); });
   }
   if (elder_.open()) {
@@ -159,7 +159,7 @@
   return theirs.words == mine.words;
 }
 
-void Upgrade::meet_heirs() {
+void Upgrade::meet_successors() {
   while (!stopped_) {
     if (!listener_.readable_within(kLookUp)) continue;
     Socket socket(::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
@@ -170,15 +170,15 @@
     overlap_(true);
     {
       const std::lock_guard lock(mutex_);
-      heir_ = std::move(socket);
+      successor_ = std::move(socket);
       broken_ = false;
-      has_heir_ = understood;
+      has_successor_ = understood;
     }
     // Nothing comes from it but its end.
-    while (!stopped_ && !heir_.readable_within(kLookUp)) {
+    while (!stopped_ && !successor_.readable_within(kLookUp)) {
     }
     if (stopped_) return;
-    has_heir_ = false;
+    has_successor_ = false;
     log_note("upgrade: the new process is gone");
     overlap_(false);
   }
@@ -214,7 +214,7 @@
     queue_.pop_front();
     sending_ = true;
     lock.unlock();
-    if (!broken_ && !send_message(heir_, message)) {
+    if (!broken_ && !send_message(successor_, message)) {
       broken_ = true;
       log_note("upgrade: the new process takes nothing more");
     }
--- a/src/net/upgrade.h
+++ b/src/net/upgrade.h
@@ -15,7 +15,7 @@
 
 namespace canvasstage::net {
 
-class Upgrade final : public Heir {
+class Upgrade final : public SuccessorProcess {
  public:
   // JSON, bytes behind it, and descriptors: one thing that is handed over.
   struct Message {
@@ -31,15 +31,15 @@
   // Meets the process that is there, if any; waits for its word, but not long. False: nobody can be met, as
   // the folder is not to be used.
   bool start(const char* folder);
-  bool has_heir() const { return has_heir_; }
-  // From any thread, once there is an heir.
+  bool has_successor() const { return has_successor_; }
+  // From any thread, once there is an successor.
   void send(Message message);
   void client_moves(Socket socket, bool fresh, Time since_opened) override;
   // Sends what is left, as long as that goes, and ends its threads.
   void stop();
 
  private:
-  void meet_heirs();
+  void meet_successors();
   void follow_elder();
   void write_out();
   bool greet(const Socket& socket, bool first);
@@ -48,10 +48,10 @@
   const Taken taken_;
   const Overlap overlap_;
   Socket listener_, elder_;
-  std::atomic<bool> has_heir_{false}, stopped_{false};
+  std::atomic<bool> has_successor_{false}, stopped_{false};
   std::mutex mutex_;
   std::condition_variable changed_;
-  Socket heir_;  // the sender's once it is there
+  Socket successor_;  // the sender's once it is there
   std::deque<Message> queue_;
   bool sending_ = false, broken_ = false;
 };
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -15,9 +15,9 @@
 constexpr unsigned kNotRecursive = rapidjson::kParseIterativeFlag;
 
 // Takes on what stays open when this process ends.
-class Heir {
+class SuccessorProcess {
  public:
-  virtual ~Heir() = default;
+  virtual ~SuccessorProcess() = default;
   // From any thread. Nothing whole has come from one that is fresh.
   virtual void client_moves(Socket socket, bool fresh, Time since_opened) = 0;
 };
@@ -28,9 +28,9 @@
   BufferPool& launches;
   const TermsInForce& terms;
   Board& board;
-  const Parting& parting;  // this process is to hand over what it has
-  Heir* heir;              // and to whom; read only once that was told
-  Node*& node;             // for the events that the reducer runs, and for nobody else
+  const Parting& parting;       // this process is to hand over what it has
+  SuccessorProcess* successor;  // and to whom; read only once that was told
+  Node*& node;                  // for the events that the reducer runs, and for nobody else
 };
 
 // A submission as its client wrote it.
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -114,7 +114,7 @@
     std::string executor, address;
     Time since;
   };
-  bool heir = false;
+  bool successor = false;
   std::string handed_knowledge;
   std::vector<MovedJob> handed_jobs;
   std::vector<Link> handed_links;
@@ -140,7 +140,7 @@
   void open_listener() override { listening = true; }
   void close_listener() override { listening = false; }
   void publish(const Figures& now) override { figures = now; }
-  bool has_heir() override { return heir; }
+  bool has_successor() override { return successor; }
   void begin_handover(std::string knowledge) override { handed_knowledge = std::move(knowledge); }
   void hand_over(const MovedJob& job) override { handed_jobs.push_back(job); }
   void hand_over_link(Id launch, const std::string& executor, const std::string& address,
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -38,7 +38,7 @@
 
 TEST(Handover, AnOpenJobGoesOnceItsLaunchIsParked) {
   Core from = shared_core(2), to = shared_core(2);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 2);  // single-use
   const std::string executor = from.effects.launches[0].address;
   from.node.launch_started(kNow + 10, 1);
@@ -73,7 +73,7 @@
 // Taken = ended + outstanding + handed over in each, and what one handed over the other one took.
 TEST(Handover, TheSumsHoldOverBothProcesses) {
   Core from = shared_core(1), to = shared_core(1);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 0);
   from.arrive(6, 0);  // waits
   from.end(1, Outcome::kSatisfied, kNow + 10);
@@ -99,7 +99,7 @@
 // It may have run there: the process that goes on with it may not launch it again.
 TEST(Handover, WhatMayHaveRunIsKnownToTheNextProcess) {
   Core from = shared_core(2), to = shared_core(2);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 2);
   from.node.stop(kNow + 20);
   from.node.launch_parked(kNow + 30, 1, std::make_shared<ReadingStub>());
@@ -115,7 +115,7 @@
 // An ended launch that may have run counts as well; one that waits for room has nothing pending.
 TEST(Handover, OneThatWaitsForRoomGoesAtOnceWithItsHistory) {
   Core from = shared_core(1), to = shared_core(2);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 1);  // referenced, in its zone
   from.end(1, Outcome::kBroken, kNow + 10);
   from.arrive(6, 0);
@@ -134,7 +134,7 @@
 
 TEST(Handover, AnIdThatIsOpenIsNotTakenTwice) {
   Core from = shared_core(1), to = shared_core(1);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 0);
   from.node.stop(kNow + 20);
   from.node.launch_parked(kNow + 30, 1, std::make_shared<ReadingStub>());
@@ -150,7 +150,7 @@
 // Given up while it is parked: nobody reads from it, and its end is told all the same.
 TEST(Handover, AParkedLaunchThatIsGivenUpEnds) {
   Core from = shared_core(1);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 0);
   from.node.stop(kNow + 20);
   from.node.client_closed(kNow + 25, 5);
@@ -162,7 +162,7 @@
 
 TEST(Handover, FreeConnectionsGoAlong) {
   Core from = shared_core(1), to = shared_core(1);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 0);
   from.end(1, Outcome::kSatisfied, kNow + 10, true);
   from.node.stop(kNow + 20);
@@ -181,7 +181,7 @@
 
 TEST(Handover, WhatWasLearnedGoesAlong) {
   Core from = shared_core(2), to = shared_core(2);
-  from.effects.heir = true;
+  from.effects.successor = true;
   Time now = kNow;
   for (Id launch = 1; launch <= 20; ++launch) {
     from.arrive(100 + launch, 0, now);
@@ -209,7 +209,7 @@
     core->node.executor_listed(kNow, "s-0", "host:0", "a", "m", 0, Standing::kReady, kNow - 5 * kSecond);
     core->node.roster_arrived(kNow, RosterForm::kWhole, 2);
   }
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 0);
   ASSERT_EQ(from.effects.launches.size(), 1u);
   from.node.stop(kNow + 20);
@@ -220,7 +220,7 @@
 // A job's use case may be worded otherwise in the settings that the next process reads.
 TEST(Handover, AJobKeepsTheUseCaseThatItCameUnder) {
   Core from = shared_core(1);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 2);
   from.node.stop(kNow);
   from.node.launch_parked(kNow, 1, std::make_shared<ReadingStub>());
@@ -238,7 +238,7 @@
 
 TEST(Handover, EveryFieldOfAJobIsChecked) {
   Core from = shared_core(1);
-  from.effects.heir = true;
+  from.effects.successor = true;
   from.arrive(5, 2);
   from.node.stop(kNow);
   from.node.launch_parked(kNow, 1, std::make_shared<ReadingStub>());
