The core's words of JSON stand once, and name_of beside index_of

Cause: recovery.cpp and peers.cpp had written again what handover.cpp has; three tests built the same parts by hand.

--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -1,30 +1,16 @@
 // What one process of a node hands to the next: the part of Node that words it and takes it in. No I/O.
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
 
+#include "core/json_writer.h"
 #include "core/node.h"
 
 namespace canvasstage {
 namespace {
 
-using Json = rapidjson::Writer<rapidjson::StringBuffer>;
-
-void write(Json& json, const char* key, double value) {
-  json.Key(key);
-  json.Double(value);
-}
-
-void write(Json& json, const char* key, const std::string& value) {
-  json.Key(key);
-  json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
 // Two processes read two clocks: all goes by how long ago it was.
-void write_sum(Json& json, const char* key, Time now, const DecayingSum& sum) {
+void write_sum(JsonWriter& json, const char* key, Time now, const DecayingSum& sum) {
   json.Key(key);
   json.StartArray();
   json.Double(sum.value);
@@ -49,17 +35,13 @@
   return {number(pair[0], key), now - length(pair[1], key)};
 }
 
-std::string name_of(const std::vector<std::string>& names, int index) {
-  return index >= 0 && index < static_cast<int>(names.size()) ? names[index] : std::string();
-}
-
 }  // namespace
 
 // --- A job in words ---
 
 std::string written(const MovedJob& job, Time now) {
   rapidjson::StringBuffer out;
-  Json json(out);
+  JsonWriter json(out);
   const auto span = [&json](const char* key, Time value) { write(json, key, static_cast<double>(value)); };
   const auto flag = [&json](const char* key, bool value) {
     json.Key(key);
@@ -170,7 +152,7 @@
 
 std::string Node::knowledge(Time now) {
   rapidjson::StringBuffer out;
-  Json json(out);
+  JsonWriter json(out);
   json.StartObject();
   json.Key("executors");
   json.StartArray();
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -1,17 +1,13 @@
 // What nodes say to each other after a power loss: the part of Node that words it and takes it in. No I/O.
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "core/json_writer.h"
 #include "core/node.h"
 
 namespace canvasstage {
 namespace {
 
-using Json = rapidjson::Writer<rapidjson::StringBuffer>;
-
 // Attempts that one node tells, the latest first, and members that one list may bring.
 constexpr std::size_t kMostAttempts = 1000;
 constexpr std::size_t kMostMembers = 10000;
@@ -19,16 +15,6 @@
 constexpr Time kMillisecond = kSecond / 1000;
 constexpr double kLongestTime = 86400.0 * 30;  // seconds that a peer may name
 
-void write(Json& json, const char* key, const std::string& value) {
-  json.Key(key);
-  json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
-void write(Json& json, const char* key, std::int64_t value) {
-  json.Key(key);
-  json.Int64(value);
-}
-
 // In milliseconds, between 0 and the longest.
 Time read_time(const JsonValue& object, const char* key) {
   const double value = number(needed(object, key), key);
@@ -51,7 +37,7 @@
   return std::string(value);
 }
 
-void write_attempt(Json& json, const recovery::AttemptRecord& attempt, Time now) {
+void write_attempt(JsonWriter& json, const recovery::AttemptRecord& attempt, Time now) {
   json.StartObject();
   write(json, "run", std::to_string(attempt.number.run));
   write(json, "attempt", std::to_string(attempt.number.attempt));
@@ -60,10 +46,10 @@
   write(json, "useCase", attempt.use_case);
   write(json, "executor", attempt.executor);
   write(json, "zone", attempt.zone);
-  write(json, "cell", std::int64_t{attempt.cell});
-  write(json, "startedAtMs", attempt.executor_started / kMillisecond);
-  write(json, "ageMs", (now - attempt.sent) / kMillisecond);
-  write(json, "windowMs", attempt.window / kMillisecond);
+  write_whole(json, "cell", attempt.cell);
+  write_whole(json, "startedAtMs", attempt.executor_started / kMillisecond);
+  write_whole(json, "ageMs", (now - attempt.sent) / kMillisecond);
+  write_whole(json, "windowMs", attempt.window / kMillisecond);
   json.EndObject();
 }
 
@@ -93,15 +79,15 @@
 
 std::string Node::peer_summary(Time now) const {
   rapidjson::StringBuffer out;
-  Json json(out);
+  JsonWriter json(out);
   json.StartObject();
   write(json, "node", recovery_->node);
   write(json, "phase", std::string(list_from_discovery_ ? "in-service" : "recovering"));
   json.Key("generation");
   json.Uint64(roster_version_);
-  write(json, "incarnationsBegun", std::int64_t{recovery_->membership.incarnations_begun()});
+  write_whole(json, "incarnationsBegun", recovery_->membership.incarnations_begun());
   write(json, "digest", std::to_string(list_digest_));
-  write(json, "members", static_cast<std::int64_t>(members()));
+  write_whole(json, "members", static_cast<std::int64_t>(members()));
   json.Key("inDoubt");
   json.StartArray();
   if (recovery_->attempts)
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -1,17 +1,13 @@
 // Recovery from a power loss: the part of Node that obeys its decisions and words what is kept. No I/O.
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "core/json_writer.h"
 #include "core/node.h"
 
 namespace canvasstage {
 namespace {
 
-using Json = rapidjson::Writer<rapidjson::StringBuffer>;
-
 // What is kept is written at this rate on the mean, in bytes a second, and no more often than this.
 constexpr double kSavingRate = 16 * 1024;
 constexpr Time kLeastSavingGap = kSecond;
@@ -25,16 +21,6 @@
   return standing == Standing::kReady ? "active" : "leaving";
 }
 
-void write_name(Json& json, const char* key, const std::string& value) {
-  json.Key(key);
-  json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
-std::string name_of(const std::vector<std::string>& names, int index) {
-  return index >= 0 && index < static_cast<int>(names.size()) ? names[static_cast<std::size_t>(index)]
-                                                              : std::string();
-}
-
 }  // namespace
 
 // --- The list ---
@@ -86,7 +72,7 @@
 
 std::string Node::list_in_words() const {
   rapidjson::StringBuffer out;
-  Json json(out);
+  JsonWriter json(out);
   json.StartObject();
   json.Key("generation");
   json.Uint64(roster_version_);
@@ -98,10 +84,10 @@
     const Executor& executor = policy_.executors[i];
     if (executor.standing == Standing::kGone) continue;
     json.StartObject();
-    write_name(json, "instanceId", places_[i].id);
-    write_name(json, "hostPort", places_[i].address);
-    write_name(json, "zone", name_of(terms_.zones, executor.zone));
-    write_name(json, "machineType", name_of(terms_.machine_kinds, executor.kind));
+    write(json, "instanceId", places_[i].id);
+    write(json, "hostPort", places_[i].address);
+    write(json, "zone", name_of(terms_.zones, executor.zone));
+    write(json, "machineType", name_of(terms_.machine_kinds, executor.kind));
     json.Key("cell");
     json.Int(executor.cell);
     json.Key("lifecycle");
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -126,6 +126,11 @@
   return -1;
 }
 
+std::string name_of(const std::vector<std::string>& names, int index) {
+  return index >= 0 && index < static_cast<int>(names.size()) ? names[static_cast<std::size_t>(index)]
+                                                              : std::string();
+}
+
 // The nudge undoes the binary fraction.
 Time to_time(double seconds) {
   const double units = seconds * kSecond + 1e-4;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -33,6 +33,8 @@
 const JsonValue& needed(const JsonValue& object, const char* key);
 // The place of a name among those that the settings list; -1: none.
 int index_of(const std::vector<std::string>& names, std::string_view name);
+// The name at a place among those; empty where there is none.
+std::string name_of(const std::vector<std::string>& names, int index);
 // Rounded down, so that a deadline is never taken for later than it is.
 Time to_time(double seconds);
 
--- a/tests/node_recovery_test.cpp
+++ b/tests/node_recovery_test.cpp
@@ -8,6 +8,18 @@
 
 constexpr int kKeyed = 1, kSingleUse = 2;  // use cases of the small settings
 
+recovery::NodeRecovery recovery_parts(const std::string& node, std::function<void(const std::string&)> note) {
+  return {.membership = recovery::MembershipGuard({}),
+          .learned = {},
+          .attempts = {},
+          .store = nullptr,
+          .run = 1,
+          .note = std::move(note),
+          .node = node,
+          .peers = {},
+          .peer_answers = nullptr};
+}
+
 // Keeps what it is told to write.
 struct RecordingStore : recovery::Store {
   void append(const recovery::AttemptRecord& record, std::function<void(bool)>) override {
@@ -54,15 +66,8 @@
   const FakeEffects::Launched& last() const { return core.effects.launches.back(); }
   RecordingStore store;
   std::vector<std::string> notes;
-  recovery::NodeRecovery parts{.membership = recovery::MembershipGuard({}),
-                               .learned = {},
-                               .attempts = {},
-                               .store = nullptr,
-                               .run = 0,
-                               .note = [this](const std::string& line) { notes.push_back(line); },
-                               .node = "n0",
-                               .peers = {},
-                               .peer_answers = nullptr};
+  recovery::NodeRecovery parts =
+      recovery_parts("n0", [this](const std::string& line) { notes.push_back(line); });
   Core core{4};
 };
 
@@ -214,15 +219,7 @@
   };
   const double apart = 4;
   Core fresh(4), faded(4);
-  recovery::NodeRecovery none{.membership = recovery::MembershipGuard({}),
-                              .learned = {},
-                              .attempts = {},
-                              .store = nullptr,
-                              .run = 0,
-                              .note = [](const std::string&) {},
-                              .node = "n0",
-                              .peers = {},
-                              .peer_answers = nullptr};
+  recovery::NodeRecovery none = recovery_parts("n0", [](const std::string&) {});
   fresh.node.use_recovery(none);
   faded.node.use_recovery(none);
   fresh.node.restore_learned(kNow, knowledge, 0);
@@ -253,15 +250,8 @@
     document.Parse(text.c_str());
     return document;
   }
-  recovery::NodeRecovery asking{.membership = recovery::MembershipGuard({}),
-                                .learned = {},
-                                .attempts = {},
-                                .store = nullptr,
-                                .run = 1,
-                                .note = [this](const std::string& line) { notes.push_back(line); },
-                                .node = "n1",
-                                .peers = {},
-                                .peer_answers = nullptr};
+  recovery::NodeRecovery asking =
+      recovery_parts("n1", [this](const std::string& line) { notes.push_back(line); });
   Core other{0};
 };
 
@@ -306,15 +296,8 @@
   rapidjson::Document list = parsed(core.node.list_in_words());
   list["instances"][0]["lifecycle"].SetString("leaving");
   list["instances"][3]["lifecycle"].SetString("leaving");
-  recovery::NodeRecovery fresh{.membership = recovery::MembershipGuard({}),
-                               .learned = {},
-                               .attempts = {},
-                               .store = nullptr,
-                               .run = 1,
-                               .note = [](const std::string&) {},
-                               .node = "n2",
-                               .peers = recovery::PeerEvidence(asking.peers->settings(), kNow),
-                               .peer_answers = nullptr};
+  recovery::NodeRecovery fresh = recovery_parts("n2", [](const std::string&) {});
+  fresh.peers.emplace(asking.peers->settings(), kNow);
   FakeEffects effects;
   canvasstage::Node node(small_settings(), Core::terms(), Platform{1024, false, 1}, 1, effects, kNow, "d:1");
   node.use_recovery(fresh);
