What peers are answered is worded only where there is a second address

Cause: a node with recovery on and no second address worded its summary each second and its list at each change, for nobody. Change: RecoveryWiring::publish_answers is called with the console; without it nothing is published.

--- a/src/app/recovery_wiring.cpp
+++ b/src/app/recovery_wiring.cpp
@@ -31,7 +31,7 @@
              .note = [](const std::string& line) { net::log_note(line); },
              .node = node,
              .peers = {},
-             .peer_answers = &peer_answers_} {
+             .peer_answers = nullptr} {
   if (!settings.peers.nodes.empty()) parts_.peers.emplace(settings.peers, now);
   try {
     auto store = std::make_unique<storage::NodeStore>(settings, node, storage::read_clocks(), now);
@@ -55,6 +55,11 @@
   net::log_note("recovery: commits of the store: " + std::to_string(commits));
 }
 
+const recovery::PeerAnswers& RecoveryWiring::publish_answers() {
+  parts_.peer_answers = &peer_answers_;
+  return peer_answers_;
+}
+
 void RecoveryWiring::refuse_itself(const recovery::RecoverySettings& settings, const std::string& node,
                                    const std::string& console) {
   for (const recovery::Peer& peer : settings.peers.nodes)
--- a/src/app/recovery_wiring.h
+++ b/src/app/recovery_wiring.h
@@ -18,7 +18,8 @@
   // Writes what is left, and says how often it wrote.
   ~RecoveryWiring();
   recovery::Store* store() { return writer_.get(); }
-  const recovery::PeerAnswers& peer_answers() const { return peer_answers_; }
+  // For the second address, where there is one: from then on what it answers is published.
+  const recovery::PeerAnswers& publish_answers();
   // Throws BadInput where a peer is this node, by name or by its second address.
   static void refuse_itself(const recovery::RecoverySettings& settings, const std::string& node,
                             const std::string& console);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -121,7 +121,7 @@
     share_limits(8);
   }
   server->start();
-  if (console && recovery) console->answer_peers(recovery->peer_answers());
+  if (console && recovery) console->answer_peers(recovery->publish_answers());
   if (console) net::start_thread([&console] { console->run(); });
   std::unique_ptr<net::PeerCalls> peer_calls;
   if (recovery && !recovery_settings->peers.nodes.empty()) {
