--- a/tests/fleet_peers_test.cpp
+++ b/tests/fleet_peers_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
+#include <map>
 
 #include "fleet_helpers.h"
 #include "http/writer.h"
@@ -83,51 +84,117 @@
   EXPECT_EQ(fleet.node(3).logged("4 executors known from a peer alone"), 1) << fleet.node_log(3);
 }
 
-struct FleetPeersAttempts : testing::TestWithParam<std::uint64_t> {};
+// Keyed requests; after a refusal or a node that was not there each goes on to the next node.
+class MovingClients {
+ public:
+  MovingClients(Fleet& fleet, int requests) : fleet_(fleet), requests_(requests) {}
+  void start() {
+    constexpr double kGap = 0.02;  // seconds between two first tries
+    for (int i = 0; i < requests_; ++i)
+      fleet_.loop().after(kGap * i, [this, i] {
+        ++open_;
+        send(i % fleet_.plan().nodes, 80,
+             "moved-" + std::to_string(fleet_.plan().seed) + "-" + std::to_string(i));
+      });
+  }
+  bool all_answered() const { return open_ == 0; }
+  int served() const { return served_; }
+  // What became of each try of these keys, to be shown where one took effect twice.
+  std::string history(const std::vector<std::string>& keys) const {
+    std::string all;
+    for (const std::string& key : keys) all += key + ":" + tries_.at(key) + "\n";
+    return all;
+  }
 
-// Each client goes to another node with its repeat than the one that lost power under its request.
-TEST_P(FleetPeersAttempts, ARepeatThatReachesAnotherNodeTakesEffectOnce) {
-  FleetPlan plan = fleet_of_peers(3, GetParam());
-  plan.run_time = 0.3;
-  plan.peers = std::getenv("FLEET_WITHOUT_PEERS") == nullptr;
-  Fleet fleet(plan);
-  start_all(fleet);
-  constexpr int kRequests = 90;
-  int open = 0, served = 0;
-  std::function<void(int, int, const std::string&)> send = [&](int node, int tries, const std::string& key) {
-    fleet.send(node, kKeyedUseCase, key, 5, [&, node, tries, key](int status) {
-      if (status == 200) ++served;
+ private:
+  void send(int node, int tries, const std::string& key) {
+    const LoopTime sent = LoopClock::now();
+    fleet_.send(node, kKeyedUseCase, key, 5, [this, node, tries, key, sent](int status) {
+      const auto milliseconds = [this](LoopTime at) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(at - began_).count());
+      };
+      tries_[key] += " n" + std::to_string(node) + " " + milliseconds(sent) + " to " +
+                     milliseconds(LoopClock::now()) + " ms " + std::to_string(status) + ";";
+      if (status == 200) ++served_;
       // Such a request is repeated after a refusal and where its node was not there, never after a failure.
       const bool repeats = (status == 0 || status == 503) && tries > 0;
       if (!repeats) {
-        --open;
+        --open_;
         return;
       }
-      fleet.loop().after(0.1, [&, node, tries, key] { send((node + 1) % 3, tries - 1, key); });
-    });
-  };
-  for (int i = 0; i < kRequests; ++i)
-    fleet.loop().after(0.02 * i, [&, i] {
-      ++open;
-      send(i % 3, 80, "moved-" + std::to_string(GetParam()) + "-" + std::to_string(i));
+      fleet_.loop().after(
+          0.1, [this, node, tries, key] { send((node + 1) % fleet_.plan().nodes, tries - 1, key); });
     });
-  fleet.run(1 + 0.05 * static_cast<double>(GetParam()));
-  const std::size_t begun = fleet.ledger().size();
-  EXPECT_GT(begun, 10u);
+  }
+  Fleet& fleet_;
+  const int requests_;
+  int open_ = 0, served_ = 0;
+  const LoopTime began_ = LoopClock::now();
+  std::map<std::string, std::string> tries_;
+};
+
+constexpr int kRequests = 90;
+
+FleetPlan fleet_with_open_requests(std::uint64_t seed) {
+  FleetPlan plan = fleet_of_peers(3, seed);
+  plan.run_time = 0.3;
+  plan.peers = std::getenv("FLEET_WITHOUT_PEERS") == nullptr;
+  return plan;
+}
+
+// Until all of the fleet loses power under requests.
+void play_until_power_loss(Fleet& fleet, MovingClients& clients) {
+  start_all(fleet);
+  clients.start();
+  fleet.run(1 + 0.05 * static_cast<double>(fleet.plan().seed));
+  EXPECT_GT(fleet.ledger().size(), 10u);
   fleet.lose_power(Fleet::Scope::kAll);
   fleet.start_executors();
   fleet.start_discovery(kGeneration + 1, fleet.listed());
+}
+
+std::string all_logs(const Fleet& fleet) {
+  std::string all;
+  for (int node = 0; node < fleet.plan().nodes; ++node) all += fleet.node_log(node);
+  return all;
+}
+
+struct FleetPeersAttempts : testing::TestWithParam<std::uint64_t> {};
+
+// Each client goes to another node with its repeat than the one that lost power under its request.
+TEST_P(FleetPeersAttempts, ARepeatThatReachesAnotherNodeTakesEffectOnce) {
+  Fleet fleet(fleet_with_open_requests(GetParam()));
+  MovingClients clients(fleet, kRequests);
+  play_until_power_loss(fleet, clients);
   start_nodes(fleet);
-  EXPECT_TRUE(fleet.run(kMostAnswering, [&] { return open == 0; }));
+  EXPECT_TRUE(fleet.run(kMostAnswering, [&] { return clients.all_answered(); }));
   // Cold executors of one zone take what their budget allows; a repeat that would be late for that is failed.
-  EXPECT_GE(served, kRequests * 3 / 4);
+  EXPECT_GE(clients.served(), kRequests * 3 / 4);
   EXPECT_EQ(fleet.nodes_that_logged("nonsense"), 0) << fleet.node_log(0);
   EXPECT_EQ(fleet.nodes_that_logged(" answers"), fleet.plan().peers ? 3 : 0) << fleet.node_log(0);
-  EXPECT_EQ(fleet.ledger().repeated_effects(), std::vector<std::string>{});
+  const std::vector<std::string> twice = fleet.ledger().repeated_effects();
+  EXPECT_EQ(twice, std::vector<std::string>{}) << clients.history(twice) << all_logs(fleet);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FleetPeersAttempts, testing::Range<std::uint64_t>(1, 6));
 
+// The same, where the node that knows of the first attempt is back later than the others' patience lasts.
+TEST(FleetPeersAttempt, ThatComesBeforeItsOwnNodeIsBackTakesEffectOnce) {
+  constexpr double kLate = 4;  // seconds; the others serve after 2 s
+  Fleet fleet(fleet_with_open_requests(1));
+  MovingClients clients(fleet, kRequests);
+  play_until_power_loss(fleet, clients);
+  for (const int early : {1, 2}) fleet.start_node(early);
+  fleet.run(kLate);
+  EXPECT_TRUE(fleet.listening(1) && fleet.listening(2)) << all_logs(fleet);
+  EXPECT_TRUE(serves(fleet, 1)) << fleet.node_log(1);
+  fleet.start_node(0);
+  EXPECT_TRUE(fleet.run(kMostAnswering, [&] { return clients.all_answered(); }));
+  EXPECT_GE(clients.served(), kRequests / 2);
+  const std::vector<std::string> twice = fleet.ledger().repeated_effects();
+  EXPECT_EQ(twice, std::vector<std::string>{}) << clients.history(twice) << all_logs(fleet);
+}
+
 // --- Peers that lie ---
 
 // A second address that answers every call with the same bytes, or with none.
--- a/tests/node_recovery_test.cpp
+++ b/tests/node_recovery_test.cpp
@@ -271,6 +271,39 @@
   EXPECT_EQ(asking.attempts->size(), 1u);
 }
 
+// A node that is back, with executors, and has not heard its peer yet.
+struct NodeBeforePeersTest : NodePeersTest {
+  NodeBeforePeersTest() { back.node.use_recovery(asking); }
+  void arrive_back(Id client, int use_case, const std::string& key, Time now) {
+    back.node.client_opened(now, client);
+    back.node.submission_arrived(now, client, "id" + std::to_string(client), use_case, now + 5 * kSecond, 0,
+                                 1, nullptr, 0, key);
+  }
+  Core back{4};
+};
+
+// The peer may know of an attempt with that key, in a group that this node would not choose.
+TEST_F(NodeBeforePeersTest, AKeyIsRefusedUntilThePeerWasHeard) {
+  const Time impatient = kNow + window() - 1;
+  arrive_back(1, kKeyed, "key", impatient);
+  ASSERT_EQ(back.effects.answers.size(), 1u);
+  EXPECT_EQ(back.effects.answers[0], std::make_pair(Id{1}, Answer::kPushedBack));
+  EXPECT_TRUE(back.effects.launches.empty());
+  back.node.peer_answered(impatient, 0, parsed(core.node.peer_summary(impatient)));
+  arrive_back(2, kKeyed, "key", impatient);
+  EXPECT_EQ(back.effects.launches.size(), 1u);
+}
+
+TEST_F(NodeBeforePeersTest, AKeyIsServedOnceNoWindowFromBeforeIsOpen) {
+  arrive_back(1, kKeyed, "late", kNow + window());
+  EXPECT_EQ(back.effects.launches.size(), 1u);
+}
+
+TEST_F(NodeBeforePeersTest, WhatMayTakeEffectAgainIsServedAtOnce) {
+  arrive_back(1, 0, "", kNow);
+  EXPECT_EQ(back.effects.launches.size(), 1u);
+}
+
 TEST_F(NodePeersTest, WhatMakesNoSenseIsRefusedWholeAndByItsField) {
   parts.attempts->restore({in_doubt("key", 1)});
   const std::string good = core.node.peer_summary(kNow);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -202,6 +202,19 @@
     EXPECT_THROW(to.node.knowledge_taken_over(kNow, parsed(broken), kNow), BadInput) << broken;
 }
 
+// "Never" goes through the words as itself: a zone would else be for ever away, and an attempt there never
+// written.
+TEST(Handover, AZoneThatNobodyWasHeardFromIsNotTakenForAFarOne) {
+  Core from = shared_core(2), to = shared_core(2);
+  to.node.knowledge_taken_over(kNow, parsed(from.node.knowledge(kNow)), kNow);
+  const Policy& policy = to.node.policy();
+  for (const Zone& zone : policy.zones) {
+    EXPECT_EQ(zone.now, kNever);
+    EXPECT_EQ(zone.before, kNever);
+  }
+  for (const Executor& executor : policy.executors) EXPECT_EQ(policy.delay(executor), 0);
+}
+
 // What the process before sent to a cold executor counts for both: rule 4 holds for the node.
 TEST(Handover, WhatWasSentToAColdExecutorCounts) {
   Core from = shared_core(0), to = shared_core(0);
