A time of kNever comes through the words of a handover as itself, and no wait overflows

Cause: length() clamped in double, where kNever is rounded up by one; a zone that nobody was heard from came back as 2.3e18 away, a repeat's write_by lay that far in the past, and wait_for_record overflowed: UBSan ended the node, in release every repeat to that zone was withdrawn unsent. The same words are the handover's to a successor process. Change: length() compares as double and gives kNever back; steady_time() clamps and replaces the two conversions that stood in client.cpp and executor.cpp.

--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -24,9 +24,14 @@
   return value;
 }
 
-// Lengths of time stand as whole numbers of the module's units, kNever at most.
+// Lengths of time stand as whole numbers of the module's units, kNever at most. A double holds kNever rounded
+// up: it is compared as such and given back as itself.
 Time length(const JsonValue& value, const char* field) {
-  return static_cast<Time>(std::clamp(number(value, field), -1.0 * kNever, 1.0 * kNever));
+  constexpr auto kMost = static_cast<double>(kNever);
+  const double units = number(value, field);
+  if (units >= kMost) return kNever;
+  if (units <= -kMost) return -kNever;
+  return static_cast<Time>(units);
 }
 
 DecayingSum read_sum(const JsonValue& object, const char* key, Time now) {
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -237,10 +237,6 @@
   socket_.limit_reading(Milliseconds(std::max<Time>(1, (then - now()) / (kSecond / 1000))));
 }
 
-Clock::time_point ClientConnection::by_clock(Time then) const {
-  return Clock::now() + std::chrono::microseconds((then - now()) * (1000000 / kSecond));
-}
-
 // Where a wait can be ended by a handover it has been waited already.
 int ClientConnection::peeking() const {
   return world_.parting.enabled() ? MSG_PEEK | MSG_DONTWAIT : MSG_PEEK;
@@ -270,7 +266,7 @@
   char first;
   for (bool stays = false;;) {
     const Time until = fresh_ ? opened_ + kMostSilence : now() + kIdleLookUp;
-    if (!stays && world_.parting.told_before(socket_, by_clock(until))) {
+    if (!stays && world_.parting.told_before(socket_, steady_time(until))) {
       if (move_idle(reason)) return false;
       stays = true;
     }
@@ -448,7 +444,7 @@
   wait_until(now() + kLookUp);
   for (bool stays = false;;) {
     bool left = false;
-    if (!stays && carry_.empty() && world_.parting.told_before(socket_, by_clock(now() + kLookUp))) {
+    if (!stays && carry_.empty() && world_.parting.told_before(socket_, steady_time(now() + kLookUp))) {
       std::unique_lock lock(mutex_);
       left = !wait_behind_bytes(lock, Clock::now() + kMostHandover);
       stays = phase_ == Phase::kOpen;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -93,7 +93,6 @@
   bool await_answer(Reason& reason);
   bool wait_behind_bytes(std::unique_lock<std::mutex>& lock, Clock::time_point then);
   bool move_idle(Reason& reason);
-  Clock::time_point by_clock(Time then) const;
   int peeking() const;
   bool reject(int status, Reason why, Reason& reason);
   bool answer_last(const std::string& bytes, Reason why, Reason& reason);
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -188,11 +188,10 @@
 // It is not sent yet: whatever withdraws it ends the wait, and so does the time by which it has to go.
 void ExecutorConnection::wait_for_record() {
   if (!work_.recorded) return;
-  const Time until = std::min(work_.write_by, work_.give_up_at);
-  const auto clock_until = Clock::now() + std::chrono::microseconds((until - now()) * (1000000 / kSecond));
+  const Clock::time_point until = steady_time(std::min(work_.write_by, work_.give_up_at));
   std::unique_lock lock(mutex_);
   const bool written =
-      changed_.wait_until(lock, clock_until, [this] { return given_up_ || record_written_ == work_.id; });
+      changed_.wait_until(lock, until, [this] { return given_up_ || record_written_ == work_.id; });
   given_up_ = given_up_ || !written;
 }
 
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -1,5 +1,6 @@
 #include "net/reducer.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -25,6 +26,11 @@
   return at.unix_time + std::chrono::floor<Unit>(std::chrono::steady_clock::now() - at.steady).count();
 }
 
+std::chrono::steady_clock::time_point steady_time(Time then) {
+  constexpr Time kFarthest = 24 * 3600 * kSecond;
+  return std::chrono::steady_clock::now() + Unit(std::clamp(then - now(), -kFarthest, kFarthest));
+}
+
 void Reducer::post(Event event) {
   const std::lock_guard lock(mutex_);
   events_.push_back(std::move(event));
--- a/src/net/reducer.h
+++ b/src/net/reducer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,8 @@
 
 // The time that the whole process goes by: Unix time at its start, steady from then on.
 Time now();
+// The steady clock's moment for it, for waits; a time that is over a day away counts as a day away.
+std::chrono::steady_clock::time_point steady_time(Time then);
 
 class Reducer {
  public:
