A key waits for every peer that may know its first attempt, also beyond their patience

Cause: after a power loss a node served keys once its patience of 2 s with its peers was over; a repeat whose first attempt only an absent peer knows went to another zone and took effect twice. Change: PeerEvidence::may_know_attempt; such a key is refused (503, Retry-After where allowed) until all peers have answered once or the window has passed since the start. Group all is not held, as every executor recognises its repeats.

--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -159,12 +159,24 @@
   });
 }
 
+// A key that this node does not know may be one that a peer does, which was not heard yet: sent now it could
+// reach another group than its first attempt. It is refused, and nothing has run here.
+bool Node::refused_before_peers(Time now, int submission) {
+  const UseCase& use_case = settings_.use_cases[entries_[submission].use_case];
+  if (!recovery_->peers || use_case.group == Group::kAll) return false;
+  if (!recovery_->peers->may_know_attempt(now, use_case.window)) return false;
+  answer(submission, Answer::kPushedBack, nullptr,
+         std::min(settings_.longest_stay_away, recovery_->peers->settings().ask_every));
+  return true;
+}
+
 // A request with the key of an earlier one, of which an attempt may have run: it goes on as that one would,
-// or is answered as failed at once. False: nothing is known of its key.
+// or is answered as failed at once. False: nothing is known of its key, and it may go.
 bool Node::arrives_after_attempt(Time now, int submission, double hint, int width, std::uint64_t key) {
   Entry& entry = entries_[submission];
+  if (entry.idempotency_key.empty()) return false;
   const recovery::AttemptRecord* const earlier = recovery_->attempts->earliest(entry.idempotency_key);
-  if (earlier == nullptr || entry.idempotency_key.empty()) return false;
+  if (earlier == nullptr) return refused_before_peers(now, submission);
   const int executor = executor_of(now, *earlier);
   if (!may_follow(now, *earlier, settings_.use_cases[entry.use_case], executor)) {
     answer(submission, Answer::kAborted, nullptr, 0);
--- a/src/recovery/peer_evidence.cpp
+++ b/src/recovery/peer_evidence.cpp
@@ -26,8 +26,16 @@
   heard_[peer].reset();
 }
 
+bool PeerEvidence::all_answered() const {
+  return std::ranges::all_of(answered_, [](bool one) { return one; });
+}
+
 bool PeerEvidence::settled(Time now) const {
-  return now >= start_ + settings_.patience || std::ranges::all_of(answered_, [](bool one) { return one; });
+  return now >= start_ + settings_.patience || all_answered();
+}
+
+bool PeerEvidence::may_know_attempt(Time now, Time window) const {
+  return now < start_ + window && !all_answered();
 }
 
 void PeerEvidence::list_told(std::size_t peer) {
--- a/src/recovery/peer_evidence.h
+++ b/src/recovery/peer_evidence.h
@@ -46,6 +46,9 @@
 
   // Whether nothing more is waited for: each has answered once, or time is up.
   bool settled(Time now) const;
+  // Whether a peer that never answered may know of a first attempt whose window, of that length, is still
+  // open.
+  bool may_know_attempt(Time now, Time window) const;
   bool asks(Time now) const { return now < start_ + settings_.ask_for; }
   // Whom to ask for its list where discovery has told none: of the lists that were not asked for yet the one
   // on which most peers agree, and of such the newest. Nothing: nobody has any.
@@ -54,6 +57,7 @@
   const PeerSettings& settings() const { return settings_; }
 
  private:
+  bool all_answered() const;
   const PeerSettings settings_;
   const Time start_;
   std::vector<std::optional<PeerSummary>> heard_;  // by peer, the latest
