Soak of real processes with overlapping troubles, its judge, and three failing tests

Change: lab/faults (a build of the node whose calls fail as Linux documents, switched by the rig while it runs), lab/fleet/soak (16 nodes, 8 processes of executors, links, clients that leave; 15 troubles by seed), soak_judge (lost, twice, leaver, drain, deadline, stop, crash), canvasstage-lab soak. The three tests fail on this text.

--- a/lab/fleet/fleet.cpp
+++ b/lab/fleet/fleet.cpp
@@ -9,6 +9,8 @@
 #include <sstream>
 #include <utility>
 
+#include "fleet/request_sender.h"
+
 namespace canvasstage::lab::fleet {
 namespace {
 
@@ -58,7 +60,8 @@
 
 Programs programs_beside() {
   const std::filesystem::path folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
-  return {folder / "canvasstage", folder / "canvasstage-standin", folder / "canvasstage-lossy"};
+  return {folder / "canvasstage", folder / "canvasstage-standin", folder / "canvasstage-lossy",
+          folder / "canvasstage-faulty"};
 }
 
 Fleet::Fleet(FleetPlan plan)
@@ -75,12 +78,15 @@
     executor_addresses_.push_back(free_address(numbered(network(kExecutors).c_str(), 1 + i)));
   start_proxies();
   nodes_.resize(static_cast<std::size_t>(plan_.nodes));
+  for (int i = 0; i < plan_.nodes && plan_.faulty_system_calls; ++i)
+    faults_.push_back(std::make_unique<faults::FaultSwitches>(folder_ + numbered("/faults-", i)));
 }
 
 Fleet::~Fleet() {
   // Nothing is called back from here on: whoever asked may be gone.
   nodes_.clear();
-  for (auto* const standin : {&clients_, &executors_, &discovery_, &proxies_}) standin->reset();
+  executors_.clear();
+  for (auto* const standin : {&clients_, &discovery_, &proxies_}) standin->reset();
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
@@ -139,12 +145,43 @@
   tell_list(generation, list);
 }
 
-void Fleet::start_executors() {
+std::unique_ptr<Fleet::Standin> Fleet::start_executor_process(int process) {
   std::vector<std::string> arguments = {"executors", "--run-time", std::to_string(plan_.run_time)};
-  arguments.insert(arguments.end(), executor_addresses_.begin(), executor_addresses_.end());
-  executors_ = start_standin(std::move(arguments), [this](const std::string& line) {
-    if (const auto job = decode_begun_job(line)) ledger_.add(*job, LoopClock::now());
+  const int begin = process_begin(process);
+  arguments.insert(arguments.end(), executor_addresses_.begin() + begin,
+                   executor_addresses_.begin() + process_begin(process + 1));
+  return start_standin(std::move(arguments), [this, begin](const std::string& line) {
+    auto job = decode_begun_job(line);
+    if (!job) return;
+    job->executor += static_cast<std::size_t>(begin);
+    ledger_.add(*job, LoopClock::now());
+    if (begun_) begun_(*job);
   });
+}
+
+void Fleet::kill_executors(int process) {
+  std::unique_ptr<Standin>& standin = executors_[static_cast<std::size_t>(process)];
+  standin->process->kill();
+  // What began before the end is in the pipe.
+  loop_.run(kMostStarting, [&] { return standin->process->ended(); });
+  standin.reset();
+}
+
+void Fleet::restart_executors(int process) {
+  executors_[static_cast<std::size_t>(process)] = start_executor_process(process);
+  for (int i = process_begin(process); i < process_begin(process + 1); ++i)
+    listed_[static_cast<std::size_t>(i)].started_ms = unix_ms();
+}
+
+void Fleet::set_job_fault(int process, JobFault kind, double share) {
+  if (executors_run(process))
+    executors_[static_cast<std::size_t>(process)]->process->tell(encode(SetJobFault{kind, share}));
+}
+
+void Fleet::start_executors() {
+  executors_.clear();
+  for (int process = 0; process < plan_.executor_processes; ++process)
+    executors_.push_back(start_executor_process(process));
   listed_.clear();
   for (int i = 0; i < plan_.executors; ++i) {
     ListedExecutor one;
@@ -161,14 +198,15 @@
   char identity[20];
   std::snprintf(identity, sizeof identity, "%06llx%02x",
                 static_cast<unsigned long long>(plan_.seed & 0xffffff), ++clients_started_ & 0xff);
+  clients_identity_ = identity;
   clients_ = start_standin({"clients", identity}, [this](const std::string& line) {
     const auto answered = decode_request_answered(line);
     if (!answered) return;
     const auto found = open_.find(answered->request);
     if (found == open_.end()) return;
-    const Answered then = std::move(found->second);
+    const RequestEnded then = std::move(found->second);
     open_.erase(found);
-    then(answered->status);
+    then(*answered);
   });
 }
 
@@ -189,7 +227,8 @@
       << R"(","agreedTime":0.5,"hardLimit":10,"semantics":"single_shot"}],)"
       << R"("caps":{"mostLaunches":5,"connIdle":30,"connectTimeout":0.25,"cancelling":true},)"
       << R"("domain":{"tellsStart":true,"progress":0},)"
-      << R"("guarantees":{"askWithin":10,"drainGrace":)" << kDrainGrace << "}}" << known_ << "}";
+      << R"("guarantees":{"askWithin":10,"drainGrace":)" << kDrainGrace << "}" << plan_.settings << "}"
+      << known_ << "}";
   return out.str();
 }
 
@@ -229,7 +268,13 @@
     write_recovery_settings(node);
     environment.push_back("NODE_RECOVERY=" + recovery_settings_path(node));
   }
-  nodes_[node] = std::make_unique<NodeProcess>(loop_, plan_.programs.node, configuration(node), environment);
+  if (plan_.faulty_system_calls) {
+    environment.push_back(std::string(faults::kTableVariable) + "=" + faults(node).path());
+    environment.push_back(std::string(faults::kSeedVariable) + "=" + std::to_string(plan_.seed * 64 + node));
+  }
+  nodes_[node] = std::make_unique<NodeProcess>(
+      loop_, plan_.faulty_system_calls ? plan_.programs.node_with_faults : plan_.programs.node,
+      configuration(node), environment);
 }
 
 void Fleet::start_all_nodes() {
@@ -237,17 +282,20 @@
 }
 
 void Fleet::lose_power(Scope scope) {
-  const bool executors_too = scope == Scope::kAll && executors_;
+  const bool executors_too = scope == Scope::kAll && !executors_.empty();
   for (const auto& node : nodes_)
     if (node) node->kill();
-  if (executors_too) executors_->process->kill();
+  for (const auto& standin : executors_)
+    if (executors_too && standin) standin->process->kill();
   if (discovery_) discovery_->process->kill();
   for (auto& node : nodes_) node.reset();
   discovery_.reset();
   if (!executors_too) return;
   // What began before the end is in the pipe.
-  loop_.run(kMostStarting, [&] { return executors_->process->ended(); });
-  executors_.reset();
+  loop_.run(kMostStarting, [&] {
+    return std::ranges::all_of(executors_, [](const auto& one) { return !one || one->process->ended(); });
+  });
+  executors_.clear();
 }
 
 void Fleet::configure_known(std::uint64_t generation, const std::vector<ListedExecutor>& list) {
@@ -297,13 +345,23 @@
 void Fleet::send(int node, const std::string& use_case, const std::string& idempotency_key, double time_left,
                  Answered answered) {
   SendRequest request;
-  request.request = ++requests_;
-  request.node = node_addresses_[node];
   request.use_case = use_case;
   request.idempotency_key = idempotency_key;
   request.time_left_ms = static_cast<int>(time_left * 1000);
-  open_.emplace(request.request, std::move(answered));
+  send(node, std::move(request),
+       [answered = std::move(answered)](const RequestAnswered& end) { answered(end.status); });
+}
+
+std::uint64_t Fleet::send(int node, SendRequest request, RequestEnded ended) {
+  request.request = ++requests_;
+  request.node = node_addresses_[node];
+  open_.emplace(request.request, std::move(ended));
   clients_->process->tell(encode(request));
+  return request.request;
+}
+
+std::string Fleet::correlation_id(std::uint64_t request) const {
+  return RequestSender::correlation_id(clients_identity_, request);
 }
 
 bool Fleet::run(double seconds, const std::function<bool()>& done) {
--- a/lab/fleet/fleet.h
+++ b/lab/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "faults/fault_table.h"
 #include "fleet/effect_ledger.h"
 #include "fleet/messages.h"
 #include "standins/child_process.h"
@@ -18,7 +19,7 @@
 
 struct Programs {
   std::string node, standin;
-  std::string node_on_lossy_disk;
+  std::string node_on_lossy_disk, node_with_faults;
 };
 // Those beside this program.
 Programs programs_beside();
@@ -30,6 +31,9 @@
   double run_time = 0.02;  // seconds of each job
   double window = 25;      // seconds in which an executor's group recognises a repeat
   bool proxied_executors = false;
+  int executor_processes = 1;        // that share the executors evenly: each can be killed by itself
+  std::string settings;              // further fields of every node's settings, each behind a comma
+  bool faulty_system_calls = false;  // every node is the lab's build whose system calls can be made to fail
   std::uint64_t seed = 1;
   // Each node has a store of its own that outlives it; these tables of its settings go behind [store].
   bool recovery = false;
@@ -65,7 +69,16 @@
   void start_node(int node);
   void start_all_nodes();
   void stop_discovery() { discovery_.reset(); }
-  void stop_executors() { executors_.reset(); }
+  void stop_executors() { executors_.clear(); }
+  // One process of executors is killed, or started as after a restart of all of them: cold.
+  void kill_executors(int process);
+  void restart_executors(int process);
+  bool executors_run(int process) const { return executors_[static_cast<std::size_t>(process)] != nullptr; }
+  int executors_of(int process) const { return process_begin(process + 1) - process_begin(process); }
+  int process_begin(int process) const { return process * plan_.executors / plan_.executor_processes; }
+  void set_job_fault(int process, JobFault kind, double share);
+  // Which system calls of a node fail; only where the plan asks for it.
+  faults::FaultSwitches& faults(int node) { return *faults_[static_cast<std::size_t>(node)]; }
   void stop_node(int node) { nodes_[node].reset(); }
   // SIGKILL to all nodes and discovery in one moment, and to the executors where they lose power too.
   enum class Scope { kExecutorsRun, kAll };
@@ -81,6 +94,10 @@
   void set_peer_link(int from, int to, LinkFault fault, int delay_ms = 0);
 
   using Answered = std::function<void(int status)>;
+  using RequestEnded = std::function<void(const RequestAnswered&)>;
+  // Its number and its node's address are filled in; the number is returned.
+  std::uint64_t send(int node, SendRequest request, RequestEnded ended);
+  std::string correlation_id(std::uint64_t request) const;
   void send(int node, const std::string& use_case, const std::string& idempotency_key, double time_left,
             Answered answered);
 
@@ -90,6 +107,9 @@
   bool run(
       double seconds, const std::function<bool()>& done = [] { return false; });
   Loop& loop() { return loop_; }
+  // Every job that an executor begins, besides the ledger.
+  void observe_jobs(std::function<void(const BegunJob&)> begun) { begun_ = std::move(begun); }
+  bool started(int node) const { return nodes_[node] != nullptr; }
   bool listening(int node) const;
   bool all_listening() const;
   // How many nodes have this in their log since they were last started.
@@ -112,6 +132,7 @@
   };
   std::unique_ptr<Standin> start_standin(std::vector<std::string> arguments,
                                          std::function<void(const std::string&)> told);
+  std::unique_ptr<Standin> start_executor_process(int process);
   std::string configuration(int node) const;
   void write_recovery_settings(int node) const;
   void start_proxies();
@@ -128,9 +149,13 @@
   std::vector<std::string> links_;  // where they listen: to discovery, to executors, between peers
   std::vector<ListedExecutor> listed_;
   EffectLedger ledger_;
-  std::unique_ptr<Standin> discovery_, executors_, clients_, proxies_;
+  std::unique_ptr<Standin> discovery_, clients_, proxies_;
+  std::vector<std::unique_ptr<Standin>> executors_;
+  std::vector<std::unique_ptr<faults::FaultSwitches>> faults_;
+  std::function<void(const BegunJob&)> begun_;
   std::vector<std::unique_ptr<NodeProcess>> nodes_;
-  std::map<std::uint64_t, Answered> open_;
+  std::map<std::uint64_t, RequestEnded> open_;
+  std::string clients_identity_;
   std::vector<std::shared_ptr<void>> kept_;
   std::uint64_t requests_ = 0;
   int clients_started_ = 0;
--- a/lab/fleet/messages.cpp
+++ b/lab/fleet/messages.cpp
@@ -36,42 +36,62 @@
 
 std::string encode(const SendRequest& message) {
   return line_of("send", message.request, message.node, message.use_case,
-                 message.idempotency_key.empty() ? kNoKey : message.idempotency_key, message.time_left_ms);
+                 message.idempotency_key.empty() ? kNoKey : message.idempotency_key, message.time_left_ms,
+                 message.leave_after_ms);
 }
 
 std::optional<SendRequest> decode_send_request(const std::string& line) {
   SendRequest message;
   Words words(line, "send");
   if (!words.read(message.request, message.node, message.use_case, message.idempotency_key,
-                  message.time_left_ms))
+                  message.time_left_ms, message.leave_after_ms))
     return std::nullopt;
   if (message.idempotency_key == kNoKey) message.idempotency_key.clear();
   return message;
 }
 
 std::string encode(const RequestAnswered& message) {
-  return line_of("answered", message.request, message.status);
+  return line_of("answered", message.request, message.status, static_cast<int>(message.end), message.sent_us,
+                 message.ended_us);
 }
 
 std::optional<RequestAnswered> decode_request_answered(const std::string& line) {
   RequestAnswered message;
   Words words(line, "answered");
-  if (!words.read(message.request, message.status)) return std::nullopt;
+  int end = 0;
+  if (!words.read(message.request, message.status, end, message.sent_us, message.ended_us))
+    return std::nullopt;
+  message.end = static_cast<RequestEnd>(end);
   return message;
 }
 
 std::string encode(const BegunJob& job) {
-  return line_of("begun", job.executor, job.id, job.idempotency_key.empty() ? kNoKey : job.idempotency_key);
+  return line_of("begun", job.executor, job.id, job.idempotency_key.empty() ? kNoKey : job.idempotency_key,
+                 job.time_left_ms, job.at_us);
 }
 
 std::optional<BegunJob> decode_begun_job(const std::string& line) {
   BegunJob job;
   Words words(line, "begun");
-  if (!words.read(job.executor, job.id, job.idempotency_key)) return std::nullopt;
+  if (!words.read(job.executor, job.id, job.idempotency_key, job.time_left_ms, job.at_us))
+    return std::nullopt;
   if (job.idempotency_key == kNoKey) job.idempotency_key.clear();
   return job;
 }
 
+std::string encode(const SetJobFault& message) {
+  return line_of("job-fault", static_cast<int>(message.kind), message.share);
+}
+
+std::optional<SetJobFault> decode_set_job_fault(const std::string& line) {
+  SetJobFault message;
+  Words words(line, "job-fault");
+  int kind = 0;
+  if (!words.read(kind, message.share)) return std::nullopt;
+  message.kind = static_cast<JobFault>(kind);
+  return message;
+}
+
 std::string encode(const ReplaceList& message) {
   std::string line = line_of("list", message.generation, message.executors.size());
   for (const ListedExecutor& one : message.executors)
--- a/lab/fleet/messages.h
+++ b/lab/fleet/messages.h
@@ -18,16 +18,26 @@
   std::uint64_t request = 0;
   std::string node, use_case, idempotency_key;  // no key: none is sent
   int time_left_ms = 0;
+  int leave_after_ms = 0;  // its client closes its connection so long after it has sent it; 0: it stays
 };
 std::string encode(const SendRequest& message);
 std::optional<SendRequest> decode_send_request(const std::string& line);
 
 // --- From the clients ---
 
-// `status`: of HTTP; 0: the node could not be reached or broke the connection.
+enum class RequestEnd {
+  kAnswered,
+  kUnreachable,  // nobody accepted the connection
+  kBroken,       // it was closed or reset with no whole answer
+  kOverdue,      // no answer came within its time and half a second
+  kLeft          // its client left
+};
+// `status`: of HTTP; 0: there was no answer. Times are of the steady clock, in microseconds.
 struct RequestAnswered {
   std::uint64_t request = 0;
   int status = 0;
+  RequestEnd end = RequestEnd::kAnswered;
+  std::int64_t sent_us = 0, ended_us = 0;
 };
 std::string encode(const RequestAnswered& message);
 std::optional<RequestAnswered> decode_request_answered(const std::string& line);
@@ -37,6 +47,16 @@
 std::string encode(const BegunJob& job);
 std::optional<BegunJob> decode_begun_job(const std::string& line);
 
+// --- To the executors ---
+
+// From now on this share of the jobs of the process meets this fault; 0: none does.
+struct SetJobFault {
+  JobFault kind = JobFault::kHang;
+  double share = 0;
+};
+std::string encode(const SetJobFault& message);
+std::optional<SetJobFault> decode_set_job_fault(const std::string& line);
+
 // --- To discovery ---
 
 struct ReplaceList {
--- a/lab/fleet/request_sender.cpp
+++ b/lab/fleet/request_sender.cpp
@@ -5,6 +5,7 @@
 
 #include "http/parser.h"
 #include "http/writer.h"
+#include "standins/executors.h"
 
 namespace canvasstage::lab::fleet {
 namespace {
@@ -18,13 +19,21 @@
                              std::function<void(const RequestAnswered&)> answered)
     : loop_(loop), identity_(std::move(identity)), answered_(std::move(answered)) {}
 
+std::string RequestSender::correlation_id(const std::string& identity, std::uint64_t request) {
+  char number[20];
+  std::snprintf(number, sizeof number, "%08llx", static_cast<unsigned long long>(request));
+  return identity + number;
+}
+
 void RequestSender::send(const SendRequest& request) {
   net::Socket socket = connect_now(request.node);
-  if (!socket.open()) return answered_({request.request, 0});
+  if (!socket.open()) {
+    const std::int64_t now = steady_us();
+    return answered_({request.request, 0, RequestEnd::kUnreachable, now, now});
+  }
   const auto stream = std::make_shared<Stream>(loop_, std::move(socket), traffic_);
-  open_.emplace(stream.get(), Open{request, stream});
-  char id[40];
-  std::snprintf(id, sizeof id, "%s%08llx", identity_.c_str(), static_cast<unsigned long long>(++sent_));
+  open_.emplace(stream.get(), Open{request, stream, steady_us()});
+  const std::string id = correlation_id(identity_, request.request);
   std::string bytes;
   http::Writer writer(bytes);
   writer.request("POST", "/" + request.use_case + "/" + id)
@@ -36,8 +45,13 @@
   writer.body("work");
   stream->start([this](Stream& one) { read_from(one); });
   stream->send(bytes);
-  loop_.after(request.time_left_ms / 1000.0 + kSlack, [this, weak = std::weak_ptr(stream)] {
-    if (const StreamRef late = weak.lock()) close(*late, 0);
+  close_after(request.time_left_ms / 1000.0 + kSlack, stream, RequestEnd::kOverdue);
+  if (request.leave_after_ms > 0) close_after(request.leave_after_ms / 1000.0, stream, RequestEnd::kLeft);
+}
+
+void RequestSender::close_after(double seconds, const StreamRef& stream, RequestEnd end) {
+  loop_.after(seconds, [this, weak = std::weak_ptr(stream), end] {
+    if (const StreamRef open = weak.lock()) close(*open, end);
   });
 }
 
@@ -46,18 +60,18 @@
   const bool whole =
       head.read(stream.in) == http::Progress::kDone && stream.in.size() >= head.size() + head.length;
   if (whole)
-    close(stream, head.status);
+    close(stream, RequestEnd::kAnswered, head.status);
   else if (stream.ended())
-    close(stream, 0);
+    close(stream, stream.reached() ? RequestEnd::kBroken : RequestEnd::kUnreachable);
 }
 
-void RequestSender::close(Stream& stream, int status) {
+void RequestSender::close(Stream& stream, RequestEnd end, int status) {
   const auto found = open_.find(&stream);
   if (found == open_.end()) return;
   const Open closing = found->second;
   open_.erase(found);
   closing.stream->close();
-  answered_({closing.request.request, status});
+  answered_({closing.request.request, status, end, closing.sent_us, steady_us()});
 }
 
 }  // namespace canvasstage::lab::fleet
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -11,6 +11,7 @@
 #include "experiment/experiment.h"
 #include "fleet/attempt_cost.h"
 #include "fleet/power_loss.h"
+#include "fleet/soak.h"
 #include "scale/real.h"
 #include "scale/scale.h"
 
@@ -127,6 +128,35 @@
   return 0;
 }
 
+// Plays of many processes with overlapping troubles; 1 where a rule was broken on any seed.
+int soak(const std::string& folder, int first_seed, int plays, double seconds, const std::string& only) {
+  std::string table = fleet::soak_table_head();
+  std::cout << table << std::flush;
+  std::size_t violations = 0;
+  for (int i = 0; i < plays; ++i) {
+    const auto seed = static_cast<std::uint64_t>(first_seed + i);
+    fleet::SoakPlan plan = fleet::usual_soak(seed);
+    plan.seconds = seconds;
+    if (!only.empty())
+      std::erase_if(plan.troubles, [&](fleet::Trouble one) {
+        return ("," + only + ",").find("," + std::string(name_of(one)) + ",") == std::string::npos;
+      });
+    if (plan.troubles.empty()) throw std::runtime_error("--only: no such trouble: " + only);
+    const fleet::SoakReport report = fleet::play(plan);
+    std::string row = fleet::soak_table_row(seed, report);
+    for (const std::string& one : report.violations) row += "         " + one + "\n";
+    table += row;
+    std::cout << row << std::flush;
+    violations += report.violations.size();
+    if (folder.empty() || report.violations.empty()) continue;
+    std::string logs = report.timeline;
+    for (const std::string& log : report.logs) logs += "\n" + log;
+    write_file(folder + "/soak-" + std::to_string(seed) + ".log", logs);
+  }
+  if (!folder.empty()) write_file(folder + "/soak.txt", table);
+  return violations > 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -165,8 +195,19 @@
       app.add_subcommand("attempt-cost", "measures what the attempt log costs a real node");
   attempt_cost->add_option("--out", folder, "a folder for the table as text");
   attempt_cost->add_option("--plays", plays, "plays of each row")->check(CLI::Range(1, 100));
+  int first_seed = 1;
+  double seconds = 20;
+  std::string only;
+  CLI::App* const soaking =
+      app.add_subcommand("soak", "plays many real processes with overlapping troubles, judged by the rules");
+  soaking->add_option("--out", folder, "a folder for the table, and the logs of plays that broke a rule");
+  soaking->add_option("--seed", first_seed, "the first seed")->check(CLI::Range(1, 1000000));
+  soaking->add_option("--plays", plays, "plays, each with the next seed")->check(CLI::Range(1, 1000));
+  soaking->add_option("--seconds", seconds, "of each play")->check(CLI::Range(1, 600));
+  soaking->add_option("--only", only, "these troubles alone, by name, with commas between");
   CLI11_PARSE(app, argc, argv);
   try {
+    if (soaking->parsed()) return soak(folder, first_seed, plays, seconds, only);
     if (attempt_cost->parsed()) return measure_attempt_cost(folder, plays);
     if (power_loss->parsed()) return measure_power_loss(folder, program, plays, nodes, recovery);
     if (scaling_real->parsed()) return measure_real(file, folder, program, quiet);
--- a/lab/standins/child_process.cpp
+++ b/lab/standins/child_process.cpp
@@ -52,8 +52,18 @@
 
 ChildProcess::~ChildProcess() {
   if (!ended_) loop_.forget(output_.fd());
+  if (status_) return;
   kill();
-  ::waitpid(pid_, nullptr, 0);
+  exit_status();
+}
+
+int ChildProcess::exit_status() {
+  if (status_) return *status_;
+  int status = 0;
+  while (::waitpid(pid_, &status, 0) < 0 && errno == EINTR) {
+  }
+  status_ = WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+  return *status_;
 }
 
 void ChildProcess::tell(const std::string& line) const {
@@ -67,7 +77,7 @@
 }
 
 void ChildProcess::send_signal(int signal) const {
-  ::kill(pid_, signal);
+  if (!status_) ::kill(pid_, signal);
 }
 
 void ChildProcess::kill() const {
--- a/lab/standins/child_process.h
+++ b/lab/standins/child_process.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   // SIGKILL, without waiting for its end: several can lose power in one moment.
   void kill() const;
   pid_t pid() const { return pid_; }
+  // Waits for its end and says how it ended; negative: by that signal.
+  int exit_status();
   // Its output has ended.
   bool ended() const { return ended_; }
   // What it wrote before it was killed may still be in the pipe.
@@ -43,6 +46,7 @@
   net::Socket input_, output_;
   pid_t pid_ = -1;
   bool ended_ = false;
+  std::optional<int> status_;  // once it was waited for
 };
 
 }  // namespace canvasstage::lab
--- a/lab/standins/executors.cpp
+++ b/lab/standins/executors.cpp
@@ -1,6 +1,8 @@
 #include "standins/executors.h"
 
 #include <algorithm>
+#include <charconv>
+#include <utility>
 
 #include "http/parser.h"
 #include "http/writer.h"
@@ -30,8 +32,19 @@
   return out;
 }
 
+// Of "480m"; negative where there is none.
+std::int64_t milliseconds_of(std::string_view field) {
+  std::int64_t value = -1;
+  const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), value);
+  return error == std::errc() && std::string_view(end, field.data() + field.size()) == "m" ? value : -1;
+}
+
 }  // namespace
 
+std::int64_t steady_us() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(LoopClock::now().time_since_epoch()).count();
+}
+
 Executors::Executors(Loop& loop, int count, double run_time, std::vector<JobFaultRule> rules)
     : loop_(loop), run_time_(run_time) {
   if (count < 1 || count > kMostExecutors)
@@ -94,10 +107,12 @@
   }
   const std::size_t whole = head.size() + head.length;
   if (stream.in.size() < whole) return;
-  const std::string id(head.field("X-Correlation-Id")), key(head.field("Idempotency-Key"));
+  BegunJob job{connection->executor, std::string(head.field("X-Correlation-Id")),
+               std::string(head.field("Idempotency-Key")), milliseconds_of(head.field("X-Time-Left")),
+               steady_us()};
   stream.in.erase(0, whole);
-  if (id.empty()) return stream.send(head_of(404, false));
-  take(connection, id, key);
+  if (job.id.empty()) return stream.send(head_of(404, false));
+  take(connection, std::move(job));
 }
 
 const JobFaultRule* Executors::fault_now() {
@@ -112,9 +127,9 @@
   return nullptr;
 }
 
-void Executors::take(const ConnectionRef& connection, const std::string& id,
-                     const std::string& idempotency_key) {
+void Executors::take(const ConnectionRef& connection, BegunJob begun) {
   ++came;
+  const std::string id = begun.id;
   const JobFaultRule* const fault = fault_now();
   if (fault != nullptr) ++faulty;
   if (fault != nullptr && fault->kind == JobFault::kRefuse)
@@ -122,7 +137,7 @@
   ++open;
   connection->busy = true;
   ++connection->job;
-  if (begun_) begun_({connection->executor, id, idempotency_key});
+  if (begun_) begun_(begun);
   if (fault == nullptr) return run(connection, id, run_time_);
   if (fault->kind == JobFault::kReset) {
     connection->stream->reset();
--- a/lab/standins/executors.h
+++ b/lab/standins/executors.h
@@ -31,7 +31,11 @@
 struct BegunJob {
   std::size_t executor = 0;
   std::string id, idempotency_key;
+  std::int64_t time_left_ms = -1;  // as its node told it; negative: not told
+  std::int64_t at_us = 0;          // steady clock of this machine, in microseconds
 };
+// The steady clock's time, which all processes of a machine share.
+std::int64_t steady_us();
 
 class Executors {
  public:
@@ -65,7 +69,7 @@
   void listen_at(const std::string& address);
   void accept_from(std::size_t executor);
   void read_from(const ConnectionRef& connection);
-  void take(const ConnectionRef& connection, const std::string& id, const std::string& idempotency_key);
+  void take(const ConnectionRef& connection, BegunJob job);
   void run(const ConnectionRef& connection, const std::string& id, double seconds);
   void tell_progress(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
   void finish(const ConnectionRef& connection, std::uint64_t job, const std::string& id);
--- a/lab/standins/loop.cpp
+++ b/lab/standins/loop.cpp
@@ -130,6 +130,7 @@
   if (n > 0) {
     traffic_.written += static_cast<std::uint64_t>(n);
     out_.erase(0, static_cast<std::size_t>(n));
+    reached_ = true;
   }
   if (waits_to_write_ == !out_.empty()) return;
   waits_to_write_ = !out_.empty();
--- a/lab/standins/loop.h
+++ b/lab/standins/loop.h
@@ -65,7 +65,8 @@
   void reset();  // ends it with a TCP reset
   void close();
   bool ended() const { return ended_; }
-  std::string in;  // what has come and was not taken yet
+  bool reached() const { return reached_; }  // the other end's machine took bytes of it
+  std::string in;                            // what has come and was not taken yet
 
  private:
   void move();
@@ -74,7 +75,7 @@
   net::Socket socket_;
   Traffic& traffic_;
   std::string out_;
-  bool ended_ = false, waits_to_write_ = false;
+  bool ended_ = false, reached_ = false, waits_to_write_ = false;
   std::function<void(Stream&)> came_;
 };
 
--- a/lab/standins/node_process.h
+++ b/lab/standins/node_process.h
@@ -22,12 +22,17 @@
   void reload(const std::string& configuration);
   void kill() { process_->kill(); }
   void terminate() { process_->send_signal(SIGTERM); }
+  // Holds it up where it stands, and lets it go on.
+  void pause() { process_->send_signal(SIGSTOP); }
+  void resume() { process_->send_signal(SIGCONT); }
 
   // How many lines of its log hold these words; lines about the ends of connections are not kept.
   int logged(const std::string& words) const;
   // The last word of the last such line: an address.
   std::string last_word(const std::string& words) const;
   bool ended() const { return process_->ended(); }
+  // Of a process that ended: waits for it, and says how it ended; negative: by that signal.
+  int exit_status() const { return process_->exit_status(); }
   std::string log() const;
 
   double cpu_seconds() const;  // of the whole process since its start (CLOCK_PROCESS_CPUTIME_ID)
--- /dev/null
+++ b/tests/fleet_faults_test.cpp
@@ -0,0 +1,94 @@
+// Real nodes whose system calls fail as Linux documents.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+#include "fleet_helpers.h"
+
+namespace canvasstage::lab::fleet {
+namespace {
+
+using faults::Fault;
+
+constexpr double kMostAnswering = 10;  // seconds until every request has ended
+
+FleetPlan faulty_fleet(int nodes = 1) {
+  FleetPlan plan = small_fleet();
+  plan.nodes = nodes;
+  plan.recovery = false;
+  plan.faulty_system_calls = true;
+  return plan;
+}
+
+// Requests to one node, and how they ended.
+class Requests {
+ public:
+  explicit Requests(Fleet& fleet) : fleet_(fleet) {
+    fleet.observe_jobs([this](const BegunJob& job) { jobs_.push_back(job); });
+  }
+  void send(int count, int time_left_ms, const char* use_case = kIdempotentUseCase, int node = 0) {
+    for (int i = 0; i < count; ++i) {
+      SendRequest request;
+      request.use_case = use_case;
+      request.time_left_ms = time_left_ms;
+      sent_[fleet_.send(node, request, [this](const RequestAnswered& end) { ends_.push_back(end); })] =
+          time_left_ms;
+    }
+  }
+  bool all_ended() const { return ends_.size() == sent_.size(); }
+  std::size_t ended_as(RequestEnd kind) const {
+    return static_cast<std::size_t>(std::ranges::count(ends_, kind, &RequestAnswered::end));
+  }
+  // By how many milliseconds more than its client had left an attempt was told at the most.
+  std::int64_t most_beyond_deadline() const {
+    std::int64_t most = std::numeric_limits<std::int64_t>::min();
+    for (const RequestAnswered& end : ends_)
+      for (const BegunJob& job : jobs_) {
+        if (job.id != fleet_.correlation_id(end.request)) continue;
+        const std::int64_t left_us = end.sent_us + std::int64_t{sent_.at(end.request)} * 1000 - job.at_us;
+        most = std::max(most, job.time_left_ms - left_us / 1000);
+      }
+    return most;
+  }
+  std::size_t jobs() const { return jobs_.size(); }
+
+ private:
+  Fleet& fleet_;
+  std::map<std::uint64_t, int> sent_;
+  std::vector<RequestAnswered> ends_;
+  std::vector<BegunJob> jobs_;
+};
+
+// The system may have no thread for a while: what a client has handed in is owed its answer all the same.
+TEST(FleetFaults, ARequestIsAnsweredWhereNoThreadIsToBeHad) {
+  Fleet fleet(faulty_fleet());
+  start_all(fleet);
+  Requests requests(fleet);
+  fleet.faults(0).set(Fault::kThread, 1);
+  requests.send(40, 2000);
+  fleet.run(1);
+  fleet.faults(0).clear();
+  EXPECT_TRUE(fleet.run(kMostAnswering, [&] { return requests.all_ended(); }));
+  EXPECT_GT(fleet.faults(0).injected(Fault::kThread), 0u);
+  EXPECT_EQ(requests.ended_as(RequestEnd::kAnswered), 40u) << fleet.node_log(0);
+}
+
+// What waits to be accepted grows old there: the attempt is told no more than its client has left.
+TEST(FleetFaults, TheDeadlineCountsFromTheArrivalWhereConnectionsWait) {
+  Fleet fleet(faulty_fleet());
+  start_all(fleet);
+  Requests requests(fleet);
+  fleet.faults(0).set(Fault::kAccept, 1);
+  requests.send(10, 4000);
+  fleet.run(0.8);
+  fleet.faults(0).clear();
+  EXPECT_TRUE(fleet.run(kMostAnswering, [&] { return requests.all_ended(); }));
+  EXPECT_EQ(requests.ended_as(RequestEnd::kAnswered), 10u) << fleet.node_log(0);
+  EXPECT_GT(requests.jobs(), 0u);
+  EXPECT_LE(requests.most_beyond_deadline(), 150);
+}
+
+}  // namespace
+}  // namespace canvasstage::lab::fleet
--- /dev/null
+++ b/tests/fleet_soak_test.cpp
@@ -0,0 +1,78 @@
+// The judge of plays with overlapping troubles.
+#include <gtest/gtest.h>
+
+#include "fleet/soak.h"
+
+namespace canvasstage::lab::fleet {
+namespace {
+
+constexpr std::int64_t kSent = 1000000;  // microseconds
+
+SoakRequest request_of(int time_left_ms) {
+  SoakRequest request;
+  request.sent.time_left_ms = time_left_ms;
+  return request;
+}
+
+std::vector<std::string> judged(RequestEnd end, int status, std::int64_t ended_us, const BegunJob& job,
+                                bool killed = false) {
+  SoakJudge judge(1.5);
+  judge.request_sent("id", request_of(1000));
+  if (killed) judge.node_killed(0, ended_us);
+  judge.job_begun(job);
+  judge.request_ended("id", {1, status, end, kSent, ended_us});
+  judge.finish();
+  return judge.violations();
+}
+
+BegunJob job_at(std::int64_t at_us, std::int64_t time_left_ms = 0) {
+  return {0, "id", "", time_left_ms, at_us};
+}
+
+TEST(FleetSoakJudge, AnAnswerInTimeBreaksNoRule) {
+  EXPECT_TRUE(judged(RequestEnd::kAnswered, 200, kSent + 50000, job_at(kSent + 1000, 990)).empty());
+}
+
+TEST(FleetSoakJudge, AClosedConnectionIsALostRequestUnlessItsNodeWasKilled) {
+  EXPECT_EQ(judged(RequestEnd::kBroken, 0, kSent + 50000, job_at(kSent)).size(), 1u);
+  EXPECT_EQ(judged(RequestEnd::kOverdue, 0, kSent + 1500000, job_at(kSent)).size(), 1u);
+  EXPECT_TRUE(judged(RequestEnd::kBroken, 0, kSent + 50000, job_at(kSent), true).empty());
+}
+
+TEST(FleetSoakJudge, AnAttemptForOneThatLeftOrWasAnsweredIsNamed) {
+  EXPECT_TRUE(judged(RequestEnd::kLeft, 0, kSent, job_at(kSent + 90000)).empty());
+  EXPECT_EQ(judged(RequestEnd::kLeft, 0, kSent, job_at(kSent + 250000)).size(), 1u);
+  EXPECT_EQ(judged(RequestEnd::kAnswered, 200, kSent, job_at(kSent + 150000)).size(), 1u);
+}
+
+TEST(FleetSoakJudge, ADeadlineThatIsTooLongIsNamed) {
+  EXPECT_TRUE(judged(RequestEnd::kAnswered, 200, kSent + 500000, job_at(kSent + 400000, 700)).empty());
+  EXPECT_EQ(judged(RequestEnd::kAnswered, 200, kSent + 500000, job_at(kSent + 400000, 900)).size(), 1u);
+}
+
+TEST(FleetSoakJudge, OneOfAtMostOnceThatBeginsTwiceIsNamed) {
+  SoakJudge judge(1.5);
+  SoakRequest request = request_of(1000);
+  request.at_most_once = true;
+  judge.request_sent("id", request);
+  judge.job_begun(job_at(kSent));
+  judge.job_begun(job_at(kSent + 1000));
+  judge.request_ended("id", {1, 200, RequestEnd::kAnswered, kSent, kSent + 2000});
+  judge.finish();
+  EXPECT_EQ(judge.violations().size(), 1u);
+}
+
+TEST(FleetSoakJudge, ADrainCountsOnceItMustHaveBeenTold) {
+  SoakJudge judge(1.5);
+  judge.executor_drains(0, kSent);
+  judge.job_begun(job_at(kSent + 7000000));
+  EXPECT_TRUE(judge.violations().empty());
+  judge.job_begun(job_at(kSent + 8000000));
+  EXPECT_EQ(judge.violations().size(), 1u);
+  judge.executor_active(0);
+  judge.job_begun(job_at(kSent + 9000000));
+  EXPECT_EQ(judge.violations().size(), 1u);
+}
+
+}  // namespace
+}  // namespace canvasstage::lab::fleet
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -364,6 +364,29 @@
   EXPECT_EQ(one.peer.read_to_end(), "");
 }
 
+// Requests that come together are served in turn: what the earlier ones take is gone from the time of the
+// later.
+TEST(ProgramRaces, ARequestThatCameAheadKeepsItsDeadline) {
+  constexpr std::chrono::milliseconds kHeld{700};
+  for (const bool in_one_piece : {true, false}) {
+    Running run;
+    const Peer watch = told_only_first(run);
+    Peer client = run.client();
+    client.write(Running::job("lookup", "id1", "4000m") +
+                 (in_one_piece ? Running::job("lookup", "id2", "1500m") : ""));
+    Peer executor = run.first.accept();
+    executor.read_message();
+    if (!in_one_piece) client.write(Running::job("lookup", "id2", "1500m"));
+    EXPECT_TRUE(executor.silent_for(kHeld));
+    executor.finish_job("one");
+    const std::string second = executor.read_message();
+    constexpr std::string_view kField = "X-Time-Left: ";
+    const int told = std::atoi(second.c_str() + second.find(kField) + kField.size());
+    EXPECT_LE(told, 1500 - kHeld.count() + 150) << second;
+    EXPECT_GT(told, 300) << second;
+  }
+}
+
 // The last answer, with 64 KB behind it that nobody is to read: a close over them would be a reset, which may
 // take the answer along.
 TEST(ProgramRaces, TheLastAnswerIsNotFollowedByAReset) {
