The time left counts from the arrival, and a refused thread loses no request

Change: ClientConnection::came_, by the kernel's time since the last bytes (TCP_INFO), also of what was read ahead. New net/threads: what gets no thread waits for one on a thread in reserve; a client that waits 0.25 s is answered 503 there (ClientConnection::turn_away), an attempt ends as unsent.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -213,6 +213,7 @@
   opened_ = opened;
   keep_alive_ = keep_alive;
   carry_ = std::move(carry);
+  if (!carry_.empty()) came_ = now() - socket_.since_last_bytes().count() * kSecond / 1000000;
   const std::lock_guard lock(mutex_);
   if (open) phase_ = Phase::kOpen;
 }
@@ -321,6 +322,7 @@
     const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
     if (n > 0) {
       size += static_cast<std::size_t>(n);
+      came_ = now() - socket_.since_last_bytes().count() * kSecond / 1000000;
       return true;
     }
     const int error = errno;
@@ -375,8 +377,9 @@
   return true;
 }
 
+// Its time counts from when its last byte came in: it may have waited to be accepted, behind another one, or
+// for a node that was held up.
 bool ClientConnection::hand_in(std::shared_ptr<Submitted> submission, const Terms& terms, Reason& reason) {
-  const Time came = now();
   const http::Head& head = submission->head;
   const std::string_view path = head.target.substr(0, head.target.find('?'));
   keep_alive_ = head.keep_alive;
@@ -409,7 +412,7 @@
   submission->client_left = left_check();
   std::string name(head.field("X-Correlation-Id")), idempotency_key(head.field("Idempotency-Key"));
   world_.reducer.post([&world = world_, id = id_, name = std::move(name),
-                       idempotency_key = std::move(idempotency_key), use_case, due = came + left, width, key,
+                       idempotency_key = std::move(idempotency_key), use_case, due = came_ + left, width, key,
                        payload = PayloadRef(std::move(submission))](Time now) {
     world.node->submission_arrived(now, id, name, use_case, due, 0, width, payload, key, idempotency_key);
   });
@@ -503,6 +506,42 @@
   return false;
 }
 
+bool ClientConnection::turn_away(Reason& reason) {
+  if (lingers_) return !drop_what_comes() || now() >= lingers_until_;
+  {
+    const std::lock_guard lock(mutex_);
+    if (phase_ == Phase::kOpen) return false;  // its answer is on its way, and the reducer's
+    if (phase_ == Phase::kEnded) {
+      reason = ended_for_;
+      return true;
+    }
+  }
+  char first;
+  const long n = carry_.empty() ? socket_.read(&first, 1, MSG_PEEK | MSG_DONTWAIT) : 1;
+  const bool nothing_yet = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  lingers_until_ = now() + kLinger;
+  if (n > 0) {
+    tell_turned_away();
+    reject(503, Reason::kNoThread, reason);
+    return false;
+  }
+  if (!nothing_yet) {
+    reason = n == 0 ? Reason::kPeerClosed : Reason::kPeerBroke;
+    return true;
+  }
+  if (now() < opened_ + kMostSilence || !silent_end()) return false;
+  reason = Reason::kSilent;
+  lingers_ = true;
+  return false;
+}
+
+// False: its client has ended its side too, or the connection is broken.
+bool ClientConnection::drop_what_comes() {
+  constexpr std::size_t kPart = 1024 * 1024;
+  const long n = socket_.read(nullptr, kPart, MSG_TRUNC | MSG_DONTWAIT);
+  return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 // Our side has ended. The kernel drops the bytes without copying them: 60 MB of them cost others their part
 // of the core.
 void ClientConnection::linger() {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -44,6 +44,9 @@
   void go_on(bool fresh, Time opened, bool keep_alive, bool open, std::string carry);
   Id id() const { return id_; }
   Reason run();  // the thread's, until it ends; why it did
+  // Where the system has no thread for it: a look that waits for nothing, in place of run(). What has come is
+  // told that it is refused. True: the connection has ended.
+  bool turn_away(Reason& reason);
   const std::string& peer() const { return peer_; }
 
   // The reducer's.
@@ -98,6 +101,7 @@
   bool answer_last(const std::string& bytes, Reason why, Reason& reason);
   void tell_turned_away();
   void linger();
+  bool drop_what_comes();
   void answered(bool last);
 
   const Id id_;
@@ -107,7 +111,9 @@
   Time opened_ = now();
   bool fresh_ = true;     // nothing whole has come yet
   bool lingers_ = false;  // its last answer may still be on its way
-  std::string carry_;     // what came behind the submission that is open
+  Time lingers_until_ = 0;
+  std::string carry_;  // what came behind the submission that is open
+  Time came_ = 0;      // when the last bytes that were read had come in
   bool keep_alive_ = true;
   std::mutex mutex_;
   std::condition_variable answered_;
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -118,7 +118,8 @@
     const std::shared_ptr<ExecutorConnection> link = new_link();
     link->stand_free(id, address, std::move(sockets[0]));
     links_.emplace(id, link);
-    start(link);  // one without a thread is found closed by the next look
+    start(link, id,
+          Outcome::kUnsent);  // it has no attempt: one without a thread is found closed by the next look
   } else if (kind == "client") {
     take_client(now, std::move(sockets[0]), flag(message, "fresh"),
                 now - static_cast<Time>(number(needed(message, "opened"), "opened")), true, false, "");
@@ -187,10 +188,7 @@
     const std::shared_ptr<ExecutorConnection> link = new_link();
     link->go_on(launches[i], addresses[i], submission, readings[i]);
     links_.emplace(launches[i], link);
-    if (start(link)) continue;
-    world_.reducer.post([this, launch = launches[i]](Time then) {
-      world_.node->launch_ended(then, launch, Outcome::kBroken, nullptr, false, nullptr);
-    });
+    start(link, launches[i], Outcome::kBroken);
   }
   start(client, when_gone(client->id()));
 }
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -6,6 +6,8 @@
 
 #include <memory>
 
+#include "net/threads.h"
+
 namespace canvasstage::net {
 namespace {
 
@@ -17,9 +19,9 @@
 
 std::string_view name_of(Reason reason) {
   static constexpr std::string_view kNames[] = {
-      "peer_closed", "peer_broke", "left_while_open", "answered_last", "idle",
-      "bad_message", "too_large",  "no_room",         "unreachable",   "send_failed",
-      "given_up",    "no_reuse",   "silent",          "refused",       "moved"};
+      "peer_closed", "peer_broke", "left_while_open", "answered_last", "idle",     "bad_message",
+      "too_large",   "no_room",    "unreachable",     "send_failed",   "given_up", "no_reuse",
+      "silent",      "refused",    "moved",           "no_thread"};
   return kNames[static_cast<int>(reason)];
 }
 
@@ -28,7 +30,7 @@
 void start_log(const std::string& name) {
   // A line for each connection of a node whose descriptors are used up, all at once.
   constexpr std::size_t kQueue = 2048;
-  spdlog::init_thread_pool(kQueue, 1);
+  retry_while_refused([] { spdlog::init_thread_pool(kQueue, 1); });
   logger = std::make_shared<spdlog::async_logger>(name, std::make_shared<spdlog::sinks::stdout_sink_mt>(),
                                                   spdlog::thread_pool(),
                                                   spdlog::async_overflow_policy::overrun_oldest);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -26,6 +26,7 @@
   kSilent,
   kRefused,
   kMoved,
+  kNoThread,
 };
 
 void start_log(const std::string& name);
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -21,7 +21,7 @@
     : world_(world), settings_(std::move(settings)), ask_until_(ask_until), states_(settings_.nodes.size()) {}
 
 void PeerCalls::start() {
-  if (!start_thread([this] { run(); })) log_note("recovery: no thread to be had for calls to peers");
+  start_thread([this] { run(); });
 }
 
 void PeerCalls::run() {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace canvasstage::net {
+namespace {
+
+// How long a connection waits for a thread where the system has none.
+constexpr Time kMostThreadWait = kSecond / 4;
+
+}  // namespace
 
 // Three quarters of the descriptors: the reducer closes what is idle from a half on, but the listener may be
 // far ahead of it, and a call to discovery, the console or an executor is to get one then too.
@@ -19,7 +25,7 @@
 void Server::start() {
   log_note("bound to " + listener_.address());
   writers_.start();
-  if (!start_thread([this] { listen(); })) throw std::runtime_error("no thread to be had for the listener");
+  start_thread([this] { listen(); });
 }
 
 // --- The listener ---
@@ -105,16 +111,21 @@
 }
 
 void Server::start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone) {
-  const bool started = start_thread([client = client, gone]() mutable {
-    const Reason reason = client->run();
-    const Id id = client->id();
-    const std::string peer = client->peer();
-    client.reset();
+  const auto ended = [gone](std::shared_ptr<ClientConnection> one, Reason reason) {
+    const Id id = one->id();
+    const std::string peer = one->peer();
+    one.reset();
     gone();
     // Behind that: what is read here has been told.
     log_connection_end(Side::kClient, id, peer, reason);
-  });
-  if (!started) gone();
+  };
+  start_thread([client, ended] { ended(client, client->run()); },
+               [client, ended, from = now()] {
+                 Reason reason = Reason::kNoThread;
+                 if (now() - from < kMostThreadWait || !client->turn_away(reason)) return false;
+                 ended(client, reason);
+                 return true;
+               });
 }
 
 std::shared_ptr<ExecutorConnection> Server::new_link() {
@@ -123,15 +134,31 @@
   return std::make_shared<ExecutorConnection>(world_, Milliseconds(within / (kSecond / 1000)));
 }
 
-bool Server::start(const std::shared_ptr<ExecutorConnection>& link) {
-  return start_thread([this, link] {
-    link->run();
-    world_.reducer.post([this, gone = link.get()](Time) {
-      std::erase_if(links_, [gone](const auto& entry) { return entry.second.get() == gone; });
-    });
+void Server::forget(const ExecutorConnection* link) {
+  world_.reducer.post([this, link](Time) {
+    std::erase_if(links_, [link](const auto& entry) { return entry.second.get() == link; });
   });
 }
 
+// Where the connection gets no thread in time, its attempt ends like that.
+void Server::start(const std::shared_ptr<ExecutorConnection>& link, Id attempt, Outcome without_thread) {
+  start_thread(
+      [this, link] {
+        link->run();
+        forget(link.get());
+      },
+      [this, link, attempt, without_thread, from = now()] {
+        if (now() - from < kMostThreadWait) return false;
+        log_note("no thread to be had for a connection to an executor");
+        link->give_up();
+        world_.reducer.post([this, attempt, without_thread](Time now) {
+          world_.node->launch_ended(now, attempt, without_thread, nullptr, false, nullptr);
+        });
+        forget(link.get());
+        return true;
+      });
+}
+
 // --- Effects ---
 
 void Server::answer(Id client, Answer answer, const PayloadRef& result, Time stay_away, After after) {
@@ -163,12 +190,7 @@
     links_.erase(found);
   } else {
     link = new_link();
-    if (!start(link)) {
-      world_.reducer.post([this, attempt = order.attempt](Time now) {
-        world_.node->launch_ended(now, attempt, Outcome::kUnsent, nullptr, false, nullptr);
-      });
-      return;
-    }
+    start(link, order.attempt, Outcome::kUnsent);
   }
   // Decided now, with what was told by now: half of the grace is for connecting, and an eighth for the list
   // that may wait in the queue behind this.
@@ -198,8 +220,7 @@
 void Server::watch_roster(const std::string& address, std::uint64_t from_version, Time within) {
   if (watch_) watch_->give_up();
   watch_ = std::make_shared<Watch>(world_, address, from_version, Milliseconds(within / (kSecond / 1000)));
-  const bool started = start_thread([watch = watch_] { watch->run(); });
-  if (!started) world_.reducer.post([this](Time now) { world_.node->roster_refused(now); });
+  start_thread([watch = watch_] { watch->run(); });
 }
 
 void Server::end_threads() {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -58,7 +58,8 @@
   std::function<void()> when_gone(Id client);
   static void start(const std::shared_ptr<ClientConnection>& client, std::function<void()> gone);
   std::shared_ptr<ExecutorConnection> new_link();
-  bool start(const std::shared_ptr<ExecutorConnection>& link);
+  void start(const std::shared_ptr<ExecutorConnection>& link, Id attempt, Outcome without_thread);
+  void forget(const ExecutorConnection* link);
   std::shared_ptr<ClientConnection> take_client(Time now, Socket socket, bool fresh, Time opened,
                                                 bool keep_alive, bool open, std::string carry);
   void take_job(Time now, const JsonValue& words, const std::string& bytes, std::vector<Socket> sockets);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -5,7 +5,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <pthread.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,10 +12,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
-#include <condition_variable>
 #include <cstring>
-#include <memory>
-#include <mutex>
 #include <stdexcept>
 
 namespace canvasstage::net {
@@ -170,6 +166,17 @@
          info.tcpi_state != TCP_FIN_WAIT2;
 }
 
+// The kernel tells it in milliseconds.
+std::chrono::microseconds Socket::since_last_bytes() const {
+  constexpr Milliseconds kLongest{
+      60000};  // nobody's request is older, and a system that does not know says more
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+  const Milliseconds age(info.tcpi_last_data_recv);
+  return age <= kLongest ? age : Milliseconds(0);
+}
+
 Socket Socket::duplicate() const {
   return Socket(::fcntl(fd_, F_DUPFD_CLOEXEC, 0));
 }
@@ -273,62 +280,4 @@
   }
 }
 
-namespace {
-
-struct Threads {
-  std::mutex mutex;
-  std::condition_variable ended;
-  int running = 0;
-};
-
-Threads& threads() {
-  static Threads all;
-  return all;
-}
-
-void* run_thread(void* argument) {
-  {
-    const std::unique_ptr<std::function<void()>> body(static_cast<std::function<void()>*>(argument));
-    (*body)();
-  }
-  const std::lock_guard lock(threads().mutex);
-  --threads().running;
-  threads().ended.notify_all();
-  return nullptr;
-}
-
-}  // namespace
-
-bool start_thread(std::function<void()> body) {
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-  constexpr std::size_t kStack = 512 * 1024;  // the sanitizers' frames are several times larger
-#else
-  constexpr std::size_t kStack = 64 * 1024;
-#endif
-  auto argument = std::make_unique<std::function<void()>>(std::move(body));
-  pthread_attr_t attributes;
-  pthread_attr_init(&attributes);
-  pthread_attr_setstacksize(&attributes, kStack);
-  pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
-  {
-    const std::lock_guard lock(threads().mutex);
-    ++threads().running;
-  }
-  pthread_t thread;
-  const bool started = pthread_create(&thread, &attributes, run_thread, argument.get()) == 0;
-  pthread_attr_destroy(&attributes);
-  if (started) {
-    static_cast<void>(argument.release());  // the thread owns it now
-    return true;
-  }
-  const std::lock_guard lock(threads().mutex);
-  --threads().running;
-  return false;
-}
-
-bool threads_end_within(Milliseconds limit) {
-  std::unique_lock lock(threads().mutex);
-  return threads().ended.wait_for(lock, limit, [] { return threads().running == 0; });
-}
-
 }  // namespace canvasstage::net
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -1,11 +1,10 @@
-// Blocking sockets that close themselves, and threads with small stacks.
+// Blocking sockets that close themselves.
 #pragma once
 
 #include <sys/uio.h>
 
 #include <chrono>
 #include <cstddef>
-#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -44,6 +43,8 @@
   // Whether the other end has ended its sending, or the connection is broken; also behind bytes that are not
   // read yet, and after our own end of reading.
   bool left() const;
+  // How long ago the last bytes came in, whether they were read or not; of a connection that has had some.
+  std::chrono::microseconds since_last_bytes() const;
   // A second descriptor for the same connection; not open where the system has none.
   Socket duplicate() const;
 
@@ -79,9 +80,4 @@
 // 0 or errno.
 int connect_to(const Socket& socket, const std::string& address, Milliseconds within);
 
-// Runs it on a thread of its own; false: the system has none left.
-bool start_thread(std::function<void()> body);
-// Waits until every thread has ended, for as long as this at most.
-bool threads_end_within(Milliseconds limit);
-
 }  // namespace canvasstage::net
--- a/src/net/world.h
+++ b/src/net/world.h
@@ -8,6 +8,7 @@
 #include "net/buffer_pool.h"
 #include "net/reducer.h"
 #include "net/socket.h"
+#include "net/threads.h"
 
 namespace canvasstage::net {
 
