Failing tests: a key takes effect twice where the store's disk fails for a while

Cause: StoreWriter lets every attempt go without a record once one write has failed, also when the disk works again, and RecoveryWiring serves without a store that could not be read at the start; a kill then leaves keys that nothing binds.

--- a/lab/fleet/soak.cpp
+++ b/lab/fleet/soak.cpp
@@ -323,7 +323,11 @@
         constexpr LinkFault kFaults[] = {LinkFault::kCut, LinkFault::kSilent, LinkFault::kDelay,
                                          LinkFault::kReset};
         fleet_.set_executor_link(place, kFaults[random_() % std::size(kFaults)], 100);
-        return random_between(random_, 0.2, 3);
+        const double seconds = random_between(random_, 0.2, 3);
+        constexpr double kLate = 0.5;  // of the rig itself, and the delay of the link
+        judge_.link_holds(static_cast<std::size_t>(place), steady_us(),
+                          steady_us() + static_cast<std::int64_t>((seconds + kLate) * 1e6));
+        return seconds;
       }
       case Trouble::kExecutorsCrash:
         if (!fleet_.executors_run(place)) return -1;
@@ -426,7 +430,7 @@
     judge_.finish();
     SoakReport report;
     for (const std::string& key : fleet_.ledger().repeated_effects())
-      judge_.violated("twice", key + " takes effect in two groups");
+      judge_.violated("twice", key + " takes effect in two groups:" + judge_.history(key));
     for (int node = 0; node < plan_.fleet.nodes; ++node) {
       if (fleet_.started(node)) keep_log(node);
       report.logs.push_back(nodes_[node].logs);
--- a/lab/fleet/soak_judge.h
+++ b/lab/fleet/soak_judge.h
@@ -37,6 +37,12 @@
   // The list says so from then on; discovery may be out of a node's reach.
   void executor_drains(std::size_t executor, std::int64_t at_us) { draining_since_[executor] = at_us; }
   void executor_active(std::size_t executor) { draining_since_.erase(executor); }
+  // What is written to it may come later: when a job began there says nothing of when its node wrote it.
+  void link_holds(std::size_t executor, std::int64_t from_us, std::int64_t until_us) {
+    held_links_[executor].push_back({from_us, until_us});
+  }
+  // Every try of that key, with its jobs.
+  std::string history(const std::string& idempotency_key) const;
   void violated(const std::string& rule, const std::string& what);
 
   // Every request has ended by now: one that has not was lost.
@@ -48,12 +54,17 @@
  private:
   bool killed_between(int node, std::int64_t from_us, std::int64_t until_us) const;
   void judge_end(const std::string& id, const SoakRequest& request);
+  bool came_late(const BegunJob& job) const;
   void judge_job(const BegunJob& job, const SoakRequest& request);
   const double drain_grace_;  // seconds
   std::unordered_map<std::string, SoakRequest> requests_;
   std::unordered_map<std::string, std::vector<BegunJob>> jobs_;
   std::map<int, std::vector<std::int64_t>> kills_;
   std::map<std::size_t, std::int64_t> draining_since_;
+  struct Span {
+    std::int64_t from_us, until_us;
+  };
+  std::map<std::size_t, std::vector<Span>> held_links_;
   std::vector<std::string> violations_;
   SoakCounts counts_;
   std::size_t open_ = 0;
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -90,5 +90,74 @@
   EXPECT_LE(requests.most_beyond_deadline(), 150);
 }
 
+// Keyed requests at one node; each is handed in again, with its key, where its node refused it or was killed.
+class KeyedRequests {
+ public:
+  explicit KeyedRequests(Fleet& fleet) : fleet_(fleet) {}
+  void start(int count, double gap) {
+    for (int i = 0; i < count; ++i)
+      fleet_.loop().after(gap * i, [this, i] {
+        ++open_;
+        send("fault-" + std::to_string(i), 150);
+      });
+  }
+  bool all_ended() const { return open_ == 0; }
+  int served() const { return served_; }
+
+ private:
+  void send(const std::string& key, int tries) {
+    fleet_.send(0, kKeyedUseCase, key, 3, [this, key, tries](int status) {
+      if (status == 200) ++served_;
+      if ((status != 0 && status != 503) || tries == 0) {
+        --open_;
+        return;
+      }
+      fleet_.loop().after(0.1, [this, key, tries] { send(key, tries - 1); });
+    });
+  }
+  Fleet& fleet_;
+  int open_ = 0, served_ = 0;
+};
+
+struct FleetDiskFaults : testing::Test {
+  static FleetPlan plan() {
+    FleetPlan plan = faulty_fleet();
+    plan.recovery = true;
+    plan.run_time = 0.2;
+    return plan;
+  }
+  // Its folder fails for a while; the node is killed so long after that began, and started again.
+  static void play(Fleet& fleet, double fails, double killed_after) {
+    constexpr double kRun = 1;  // seconds of service before
+    constexpr int kCount = 200;
+    KeyedRequests requests(fleet);
+    start_all(fleet);
+    requests.start(kCount, (kRun + killed_after) / kCount);
+    fleet.run(kRun);
+    fleet.faults(0).set(Fault::kDisk, 1);
+    fleet.run(std::min(fails, killed_after));
+    if (fails < killed_after) fleet.faults(0).clear();
+    fleet.run(std::max(0.0, killed_after - fails));
+    fleet.stop_node(0);
+    fleet.start_node(0);
+    fleet.run(std::max(0.0, fails - killed_after));
+    fleet.faults(0).clear();
+    EXPECT_TRUE(fleet.run(40, [&] { return requests.all_ended(); })) << fleet.node_log(0);
+    EXPECT_GT(requests.served(), kCount / 2);
+    EXPECT_GT(fleet.faults(0).injected(Fault::kDisk), 0u);
+    EXPECT_EQ(fleet.ledger().repeated_effects(), std::vector<std::string>{}) << fleet.node_log(0);
+  }
+};
+
+TEST_F(FleetDiskFaults, NoKeyTakesEffectTwiceWhereTheNodeIsKilledOnceItsDiskWorksAgain) {
+  Fleet fleet(plan());
+  play(fleet, 1, 1.6);
+}
+
+TEST_F(FleetDiskFaults, NoKeyTakesEffectTwiceWhereTheNodeIsKilledWhileItsDiskFails) {
+  Fleet fleet(plan());
+  play(fleet, 2, 1);
+}
+
 }  // namespace
 }  // namespace canvasstage::lab::fleet
