Where the store's disk fails no key is sent without its record, and the store is tried again

Cause: one failed write ended the store for good and let every attempt go unrecorded; a store that could not be read at the start was done without. A kill then left keys whose repeats nothing bound. A store that cannot be opened (I/O error, no room) is opened later, its records bind from then on. Beyond the operator's own bound (max_size_mb) attempts go unrecorded as before.

--- a/src/app/recovery_wiring.cpp
+++ b/src/app/recovery_wiring.cpp
@@ -21,8 +21,10 @@
 
 }  // namespace
 
-RecoveryWiring::RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now)
+RecoveryWiring::RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now,
+                               Post post)
     : settings_(settings),
+      post_(std::move(post)),
       parts_{.membership = recovery::MembershipGuard(settings.membership),
              .learned = settings.learned,
              .attempts = {},
@@ -34,18 +36,46 @@
              .peer_answers = nullptr} {
   if (!settings.peers.nodes.empty()) parts_.peers.emplace(settings.peers, now);
   try {
-    auto store = std::make_unique<storage::NodeStore>(settings, node, storage::read_clocks(), now);
+    auto store = open_store(now);
     restored_ = store->restored();
     parts_.run = store->run();
-    if (settings.log_attempts) parts_.attempts.emplace(settings.attempts);
-    writer_ = std::make_unique<storage::StoreWriter>(std::move(store), [](const std::string& failure) {
-      net::log_note("recovery: store is " + failure + "; serving without it");
-    });
-    parts_.store = writer_.get();
+    writer_ = std::make_unique<storage::StoreWriter>(std::move(store), store_events());
   } catch (const storage::StoreError& error) {
+    const bool may_work_again =
+        error.defect == storage::Defect::kSystem || error.defect == storage::Defect::kFull;
     net::log_note("recovery: store is " + std::string(storage::words_for(error.defect)) + ": " +
-                  error.what() + "; serving without it");
+                  error.what() + (may_work_again ? "; it is tried again" : "; serving without it"));
+    if (!may_work_again) return;
+    writer_ = std::make_unique<storage::StoreWriter>(nullptr, store_events());
   }
+  if (settings.log_attempts) parts_.attempts.emplace(settings.attempts);
+  parts_.store = writer_.get();
+}
+
+std::unique_ptr<storage::NodeStore> RecoveryWiring::open_store(Time now) const {
+  return std::make_unique<storage::NodeStore>(settings_, parts_.node, storage::read_clocks(), now);
+}
+
+storage::StoreEvents RecoveryWiring::store_events() {
+  storage::StoreEvents events;
+  events.failed = [](const std::string& failure) { net::log_note("recovery: store is " + failure); };
+  events.works_again = [] { net::log_note("recovery: store works again"); };
+  events.open = [this] { return open_store(net::now()); };
+  events.opened = [this](const storage::NodeStore& store) {
+    post_([this, run = store.run(), restored = store.restored()](Time now) mutable {
+      store_opened(now, run, std::move(restored));
+    });
+  };
+  return events;
+}
+
+// Later than the start: the list and what was learned are older by now than what the node has.
+void RecoveryWiring::store_opened(Time now, std::uint64_t run, storage::Restored restored) {
+  parts_.run = run;
+  restored_ = std::move(restored);
+  restore_attempts(now);
+  restored_ = {};
+  writer_->accept_attempts();
 }
 
 RecoveryWiring::~RecoveryWiring() {
--- a/src/app/recovery_wiring.h
+++ b/src/app/recovery_wiring.h
@@ -12,8 +12,11 @@
 
 class RecoveryWiring {
  public:
-  // Opens the store. One that cannot be used is a line of the log, and the node serves without it.
-  RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now);
+  // Runs something on the reducer's thread.
+  using Post = std::function<void(std::function<void(Time now)>)>;
+  // Opens the store. One that cannot be used is a line of the log, and the node serves without it. One whose
+  // disk fails is tried again: until it can be read no request with a key is taken.
+  RecoveryWiring(const recovery::RecoverySettings& settings, const std::string& node, Time now, Post post);
   RecoveryWiring(const RecoveryWiring&) = delete;
   // Writes what is left, and says how often it wrote.
   ~RecoveryWiring();
@@ -33,8 +36,12 @@
   bool restore_kept_list(Node& node, Time now);
   void restore_learned(Node& node, Time now);
   void restore_attempts(Time now);
+  std::unique_ptr<storage::NodeStore> open_store(Time now) const;
+  storage::StoreEvents store_events();
+  void store_opened(Time now, std::uint64_t run, storage::Restored restored);
 
   const recovery::RecoverySettings settings_;
+  const Post post_;
   storage::Restored restored_;
   recovery::NodeRecovery parts_;
   recovery::PeerAnswers peer_answers_;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -126,6 +126,7 @@
   const int index = new_entry(client, id, use_case, due, std::move(submission));
   if (logs_attempts(use_case)) {
     entries_[index].idempotency_key = idempotency_key;
+    if (refused_without_record(index)) return;
     if (arrives_after_attempt(now, index, hint, width, key)) return;
   }
   policy_.submission_arrived(now, index, use_case, due, hint, width, key, stop_by_);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -189,6 +189,7 @@
   void call_discovery(Time within);
   bool logs_attempts(int use_case) const;
   bool arrives_after_attempt(Time now, int submission, double hint, int width, std::uint64_t key);
+  bool refused_without_record(int submission);
   bool refused_before_peers(Time now, int submission);
   bool may_follow(Time now, const recovery::AttemptRecord& earlier, const UseCase& use_case,
                   int executor) const;
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -159,6 +159,17 @@
   });
 }
 
+// Where no record can be written an attempt with a key is not sent: after a kill nothing would bind its
+// repeat.
+bool Node::refused_without_record(int submission) {
+  const Entry& entry = entries_[submission];
+  const Effect effect = settings_.use_cases[static_cast<std::size_t>(entry.use_case)].effect;
+  if (effect != Effect::kReferenced || recovery_->store == nullptr) return false;
+  if (recovery_->store->accepts_attempts()) return false;
+  answer(submission, Answer::kPushedBack, nullptr, std::min(settings_.longest_stay_away, kSecond));
+  return true;
+}
+
 // A key that this node does not know may be one that a peer does, which was not heard yet: sent now it could
 // reach another group than its first attempt. It is refused, and nothing has run here.
 bool Node::refused_before_peers(Time now, int submission) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -103,7 +103,9 @@
   }
   const Time start = net::now();
   std::unique_ptr<RecoveryWiring> recovery;
-  if (recovery_settings) recovery = std::make_unique<RecoveryWiring>(*recovery_settings, c.name, start);
+  if (recovery_settings)
+    recovery = std::make_unique<RecoveryWiring>(*recovery_settings, c.name, start,
+                                                [&reducer](auto event) { reducer.post(std::move(event)); });
   server = std::make_unique<net::Server>(world, std::move(listener), upgrade.get(), c.sockets,
                                          recovery ? recovery->store() : nullptr);
   const Platform platform{c.sockets, shared, console ? net::Console::kRoom + 1 : 0};
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -55,6 +55,12 @@
   changed_.notify_one();
 }
 
+void ExecutorConnection::record_failed(Id id) {
+  const std::lock_guard lock(mutex_);
+  record_failed_ = id;
+  changed_.notify_one();
+}
+
 void ExecutorConnection::go_on(Id id, const std::string& address, PayloadRef submission,
                                std::shared_ptr<const Reading> reading) {
   const std::lock_guard lock(mutex_);
@@ -190,9 +196,9 @@
   if (!work_.recorded) return;
   const Clock::time_point until = steady_time(std::min(work_.write_by, work_.give_up_at));
   std::unique_lock lock(mutex_);
-  const bool written =
-      changed_.wait_until(lock, until, [this] { return given_up_ || record_written_ == work_.id; });
-  given_up_ = given_up_ || !written;
+  const bool written = changed_.wait_until(
+      lock, until, [this] { return given_up_ || record_written_ == work_.id || record_failed_ == work_.id; });
+  given_up_ = given_up_ || !written || record_failed_ == work_.id;
 }
 
 // One that was given up while it waited is stopped here, before its first byte; and one that waited so long
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -38,6 +38,8 @@
               Time write_by = kNever, bool recorded = false);
   // From any thread: nothing more is waited for where the record of that launch is concerned.
   void record_written(Id id);
+  // It could not be written: that launch is not to be sent.
+  void record_failed(Id id);
   // Gives it up unless its first byte may have gone.
   void withdraw();
   // Goes on where another process stopped, or stands free with its connection.
@@ -96,6 +98,7 @@
   bool given_up_ = false, idle_ = false;
   bool writing_ = false;   // a byte of the launch may have gone
   Id record_written_ = 0;  // the last launch whose record was
+  Id record_failed_ = 0;   // the last one whose record could not be
   std::optional<Work> next_;
   Work work_;                     // the thread's own, as what follows
   Clock::time_point read_until_;  // of the answer that is being read
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -200,7 +200,10 @@
                std::min(order.write_by, in_grace), recorded);
   // It connects while its record is written.
   if (recorded)
-    store_->append(*order.record, [link, attempt = order.attempt](bool) { link->record_written(attempt); });
+    store_->append(*order.record, [link, attempt = order.attempt](recovery::RecordOutcome outcome) {
+      outcome == recovery::RecordOutcome::kFailed ? link->record_failed(attempt)
+                                                  : link->record_written(attempt);
+    });
   links_.emplace(order.attempt, std::move(link));
 }
 
--- a/src/recovery/store.h
+++ b/src/recovery/store.h
@@ -24,12 +24,20 @@
   Time as_of = 0;
 };
 
+enum class RecordOutcome {
+  kDurable,  // it survives a power loss
+  kFailed,   // it could not be written: the attempt is not to go, as a repeat after a kill would not be bound
+  kUnrecorded  // it is not kept, as the store is beyond its bound or nothing could be bound by it: the
+               // attempt goes
+};
+
 class Store {
  public:
   virtual ~Store() = default;
-  // `written` is called from another thread: true once the record survives a power loss, false where the
-  // store has failed and the attempt goes without.
-  virtual void append(const AttemptRecord& record, std::function<void(bool durable)> written) = 0;
+  // Whether a record would be written now, as far as is known.
+  virtual bool accepts_attempts() const = 0;
+  // `written` is called once, from another thread or at once.
+  virtual void append(const AttemptRecord& record, std::function<void(RecordOutcome)> written) = 0;
   virtual void forget(const std::vector<AttemptNumber>& attempts) = 0;
   virtual void mark_ended(const AttemptNumber& attempt) = 0;
   virtual void save(StoredList list) = 0;
--- a/src/storage/database.cpp
+++ b/src/storage/database.cpp
@@ -73,9 +73,19 @@
   return code == SQLITE_ROW;
 }
 
+// It can be executed again also where it failed.
 void Statement::execute() {
-  while (step()) {
+  try {
+    while (step()) {
+    }
+  } catch (const StoreError&) {
+    reset();
+    throw;
   }
+  reset();
+}
+
+void Statement::reset() {
   sqlite3_reset(statement_.get());
   bound_ = 0;
 }
--- a/src/storage/database.h
+++ b/src/storage/database.h
@@ -48,6 +48,7 @@
   struct Finalize {
     void operator()(sqlite3_stmt* statement) const { sqlite3_finalize(statement); }
   };
+  void reset();
   Database& database_;
   std::unique_ptr<sqlite3_stmt, Finalize> statement_;
   int bound_ = 0;
--- a/src/storage/node_store.cpp
+++ b/src/storage/node_store.cpp
@@ -222,6 +222,10 @@
       .execute();
 }
 
+void NodeStore::touch() {
+  database_.execute("UPDATE node SET name=name");
+}
+
 void NodeStore::forget(const recovery::AttemptNumber& attempt) {
   forget_->bind(static_cast<std::int64_t>(attempt.run))
       .bind(static_cast<std::int64_t>(attempt.attempt))
