The start of an executor is dated by what the node has seen, not by its wall clock alone

With the clock an hour ahead a cold executor got 23 to 61 calls in its first three seconds (3 to 9). Change: core/list_currency: while a watch is open a process that the list did not name has started in the last 3 s, else since the list was last heard; discovery's word counts within these bounds and no later than now. The node keeps discovery's word beside it (told_start) for lists, records and the handover, and to tell a new process.

--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -166,7 +166,7 @@
     if (executor.standing == Standing::kGone) continue;
     json.StartObject();
     write(json, "id", places_[i].id);
-    write(json, "startedAt", static_cast<double>(executor.started));
+    write(json, "startedAt", static_cast<double>(places_[i].told_start));
     write(json, "work", executor.work);
     write(json, "latency", executor.latency);
     write(json, "size", executor.size);
@@ -277,7 +277,7 @@
     moved.zone = name_of(terms_.zones, executor.zone);
     moved.machine_kind = name_of(terms_.machine_kinds, executor.kind);
     moved.cell = executor.cell;
-    moved.executor_started = executor.started;
+    moved.executor_started = place.told_start;
     if (const auto found = running_.find(entry.launches[i]); found != running_.end()) {
       moved.reading = std::move(found->second.reading);
       running_.erase(found);
@@ -302,7 +302,7 @@
     const auto found = executor_indices_.find(std::string(text(needed(one, "id"), "id")));
     if (found == executor_indices_.end()) continue;
     // Another process runs there by now: what was learned is void.
-    if (length(needed(one, "startedAt"), "startedAt") < policy_.executors[found->second].started) continue;
+    if (length(needed(one, "startedAt"), "startedAt") < places_[found->second].told_start) continue;
     Learned learned;
     learned.work = number(needed(one, "work"), "work");
     learned.latency = number(needed(one, "latency"), "latency");
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -413,13 +413,17 @@
   if (added) places_.emplace_back();
   Place& place = places_[index];
   place.id = id;
-  const bool restarted = !added && started > policy_.executors[index].started;
+  const bool restarted = !added && started > place.told_start;
+  if (added || restarted) {
+    place.told_start = started;
+    place.started = list_currency_.dated(now, started);
+  }
   if (standing == Standing::kGone || restarted || place.address != address) close_free_links(index);
   place.address = address;
   place.held = false;
   if (restarted && std::exchange(place.restored, false)) policy_.executor_learned(now, index, {});
   policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind),
-                          cell, standing, started, weight, hash_of(id));
+                          cell, standing, place.started, weight, hash_of(id));
 }
 
 void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
@@ -428,6 +432,7 @@
   silences_ = 0;
   roster_version_ = version;
   have_roster_ = true;
+  if (form != RosterForm::kRemembered) list_currency_.told();
   list_changed();
   policy_.roster_arrived(now, form);
   if (form == RosterForm::kRemembered) return;
@@ -438,12 +443,14 @@
 void Node::roster_refused(Time now) {
   now_ = now;
   asked_ = -kNever;
+  list_currency_.ended(now, false);
   policy_.roster_refused(now);
 }
 
 void Node::roster_silent(Time now) {
   now_ = now;
   asked_ = -kNever;
+  list_currency_.ended(now, true);
   ++silences_;
   policy_.roster_silent(now);
 }
@@ -454,6 +461,7 @@
   if (discovery_ == address) return;
   discovery_ = std::move(address);
   asked_ = -kNever;
+  list_currency_.ended(now, false);
   policy_.roster_moved(now);
 }
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/effects.h"
+#include "core/list_currency.h"
 #include "core/settings.h"
 #include "policy.h"
 #include "recovery/node_recovery.h"
@@ -162,6 +163,8 @@
   };
   struct Place {
     std::string id, address;
+    Time told_start = 0;        // of its process, in discovery's time
+    Time started = 0;           // the same by this node's clock
     std::deque<FreeLink> free;  // the one used last at the back
     bool held = false;          // a list that is short did not name it
     bool restored = false;      // what is known of it was learned before a power loss
@@ -230,7 +233,8 @@
   std::vector<int> unused_;
   int links_ = 0;         // executor connections, busy or free
   Time asked_ = -kNever;  // discovery, in the call that has told nothing yet
-  int silences_ = 0;      // calls and watches that fell silent in a row
+  ListCurrency list_currency_;
+  int silences_ = 0;  // calls and watches that fell silent in a row
   Id last_launch_ = 0;
   std::string discovery_;
   std::uint64_t roster_version_;
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -41,7 +41,8 @@
   const auto found = executor_indices_.find(std::string(id));
   if (found == executor_indices_.end()) return false;
   const Executor& executor = policy_.executors[static_cast<std::size_t>(found->second)];
-  return executor.standing != Standing::kGone && executor.started <= started;
+  return executor.standing != Standing::kGone &&
+         places_[static_cast<std::size_t>(found->second)].told_start <= started;
 }
 
 std::size_t Node::members() const {
@@ -93,7 +94,7 @@
     json.Key("lifecycle");
     json.String(lifecycle_of(executor.standing));
     json.Key("startedAtMs");
-    json.Int64(executor.started / (kSecond / 1000));
+    json.Int64(places_[i].told_start / (kSecond / 1000));
     json.EndObject();
   }
   json.EndArray();
@@ -224,7 +225,7 @@
   record.executor = places_[executor].id;
   record.zone = name_of(terms_.zones, to.zone);
   record.cell = to.cell;
-  record.executor_started = to.started;
+  record.executor_started = places_[executor].told_start;
   record.sent = now_;
   record.window = use_case.effect == Effect::kReferenced ? use_case.window : 0;
   if (!recovery_->attempts->add(record)) {
