--- a/lab/faults/system_calls.cpp
+++ b/lab/faults/system_calls.cpp
@@ -21,12 +21,15 @@
 using canvasstage::lab::faults::Fault;
 using canvasstage::lab::faults::FaultTable;
 
+// Null as long as the variable is not set.
 FaultTable* table() {
-  static FaultTable* const mapped = [] {
-    const char* const path = std::getenv(canvasstage::lab::faults::kTableVariable);
-    return path == nullptr ? nullptr : canvasstage::lab::faults::map_fault_table(path);
-  }();
-  return mapped;
+  static std::atomic<FaultTable*> mapped{nullptr};
+  if (FaultTable* const known = mapped.load(std::memory_order_acquire)) return known;
+  const char* const path = std::getenv(canvasstage::lab::faults::kTableVariable);
+  if (path == nullptr) return nullptr;
+  FaultTable* const found = canvasstage::lab::faults::map_fault_table(path);
+  mapped.store(found, std::memory_order_release);
+  return found;
 }
 
 // Splitmix64; each thread draws from a stream of its own.
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -90,6 +90,21 @@
   EXPECT_LE(requests.most_beyond_deadline(), 150);
 }
 
+// Nobody is taken to wait no longer because a look at the queue failed.
+TEST(FleetFaults, WhatWaitsToBeAcceptedIsTakenBeforeTheListenerCloses) {
+  Fleet fleet(faulty_fleet());
+  start_all(fleet);
+  Requests requests(fleet);
+  fleet.node(0).terminate();
+  fleet.run(1.85);  // it closes 2 s after that
+  fleet.faults(0).set(Fault::kAccept, 1);
+  requests.send(20, 1000);
+  fleet.run(0.4);
+  fleet.faults(0).clear();
+  EXPECT_TRUE(fleet.run(kMostAnswering, [&] { return requests.all_ended(); }));
+  EXPECT_EQ(requests.ended_as(RequestEnd::kAnswered), 20u) << fleet.node_log(0);
+}
+
 // Keyed requests at one node; each is handed in again, with its key, where its node refused it or was killed.
 class KeyedRequests {
  public:
