A failed system call is taken for what it says: nothing waits only on EAGAIN

Change: the listener closes at the stop only after EAGAIN; Socket::read and left() are repeated on EINTR where nothing waits; EISCONN after an interrupted connect is a connection; want of descriptors, ports or buffers (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) ends an attempt as unsent after 20 ms and blames nobody; the start waits for a socket for 10 s. The lab tells kNoRoute from the machine's own trouble. A start time far below 0 no longer overflows (to_time).

--- a/lab/faults/fault_table.h
+++ b/lab/faults/fault_table.h
@@ -13,7 +13,8 @@
   kThread,         // pthread_create: EAGAIN
   kAccept,         // accept4: ECONNABORTED, ENFILE, ENOBUFS, EMFILE
   kSocket,         // socket: ENFILE, ENOBUFS, EMFILE
-  kConnect,        // connect: EADDRNOTAVAIL, ENETUNREACH, ENOBUFS
+  kConnect,        // connect: EADDRNOTAVAIL, ENOBUFS, this machine's own trouble
+  kNoRoute,        // connect: ENETUNREACH, EHOSTUNREACH, ETIMEDOUT
   kInterrupted,    // EINTR from accept4, connect, recv, send, sendmsg, poll
   kShortTransfer,  // recv, send and sendmsg move a part of the bytes
   kHeldSend,       // the process is held up for 0.14 s before bytes go out
--- a/lab/faults/system_calls.cpp
+++ b/lab/faults/system_calls.cpp
@@ -105,7 +105,8 @@
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
   static const auto real = next(&connect, "connect");
-  if (interrupted() || fails(Fault::kConnect, {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS})) return -1;
+  if (interrupted() || fails(Fault::kConnect, {EADDRNOTAVAIL, ENOBUFS})) return -1;
+  if (fails(Fault::kNoRoute, {ENETUNREACH, EHOSTUNREACH, ETIMEDOUT})) return -1;
   return real(fd, address, size);
 }
 
--- a/lab/fleet/soak.cpp
+++ b/lab/fleet/soak.cpp
@@ -343,9 +343,10 @@
         return random_between(random_, 0.5, 3);
       }
       case Trouble::kSystemCalls: {
-        constexpr faults::Fault kFaults[] = {faults::Fault::kAccept,        faults::Fault::kSocket,
-                                             faults::Fault::kConnect,       faults::Fault::kInterrupted,
-                                             faults::Fault::kShortTransfer, faults::Fault::kHeldSend};
+        constexpr faults::Fault kFaults[] = {faults::Fault::kAccept,      faults::Fault::kSocket,
+                                             faults::Fault::kConnect,     faults::Fault::kNoRoute,
+                                             faults::Fault::kInterrupted, faults::Fault::kShortTransfer,
+                                             faults::Fault::kHeldSend};
         for (int i = 0; i < 2; ++i) {
           const faults::Fault fault = kFaults[random_() % std::size(kFaults)];
           fleet_.faults(place).set(
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -134,7 +134,8 @@
 // The nudge undoes the binary fraction.
 Time to_time(double seconds) {
   const double units = seconds * kSecond + 1e-4;
-  return units > static_cast<double>(kNever) ? kNever : static_cast<Time>(std::floor(units));
+  if (units > static_cast<double>(kNever)) return kNever;
+  return units < -static_cast<double>(kNever) ? -kNever : static_cast<Time>(std::floor(units));
 }
 
 Settings decode_settings(const JsonValue& settings, Terms& terms) {
--- a/src/net/executor.cpp
+++ b/src/net/executor.cpp
@@ -152,6 +152,13 @@
       });
 }
 
+// The module may try again at once.
+void ExecutorConnection::pause_before_next_try() {
+  constexpr Milliseconds kPause{20};
+  std::unique_lock lock(mutex_);
+  changed_.wait_for(lock, kPause, [this] { return given_up_; });
+}
+
 bool ExecutorConnection::stale() const {
   char byte;
   return socket_.read(&byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
@@ -179,12 +186,16 @@
     }
     if (socket_.open()) log_connection_end(Side::kExecutor, work_.id, work_.address, Reason::kPeerClosed);
     socket_ = Socket();
-    socket_ = new_socket();
+    socket_ = socket_if_any();
   }
-  if (connect_to(socket_, work_.address, connect_within_) != 0) {
-    // One that was given up as it connected says nothing of the executor.
-    ending.outcome = was_given_up() ? Outcome::kUnsent : Outcome::kUnreachable;
-    ending.reason = Reason::kUnreachable;
+  const int error = socket_.open() ? connect_to(socket_, work_.address, connect_within_) : errno;
+  if (error != 0) {
+    // One that was given up as it connected says nothing of the executor, and neither does trouble of our
+    // own.
+    const bool ours = is_own_trouble(error);
+    ending.outcome = ours || was_given_up() ? Outcome::kUnsent : Outcome::kUnreachable;
+    ending.reason = ours ? Reason::kNoRoom : Reason::kUnreachable;
+    if (ours) pause_before_next_try();
     return false;
   }
   socket_.limit_sending(kMostSending);
--- a/src/net/executor.h
+++ b/src/net/executor.h
@@ -72,6 +72,7 @@
   void serve(Ending& ending);
   bool connect(Ending& ending);
   bool stale() const;
+  void pause_before_next_try();
   bool was_given_up();
   bool client_left() const;
   void end();  // under the lock: its socket is shut, and its thread sees it
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -71,7 +71,9 @@
       ::nanosleep(&kPause, nullptr);
       continue;
     }
-    if (closing_ && now() - came >= kQuiet.count() * (kSecond / 1000)) break;
+    // Any other error says nothing of what still waits.
+    const bool nobody_waits = errno == EAGAIN || errno == EWOULDBLOCK;
+    if (closing_ && nobody_waits && now() - came >= kQuiet.count() * (kSecond / 1000)) break;
   }
   listener_ = Socket();
   world_.reducer.post([this](Time now) { world_.node->listener_closed(now); });
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -7,12 +7,14 @@
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <iterator>
 #include <stdexcept>
 
 namespace canvasstage::net {
@@ -97,10 +99,17 @@
   limit(fd_, SO_RCVTIMEO, value);
 }
 
+// One that does not wait is repeated: it says what is there. One that waits has ended early, and its caller
+// looks at the clock.
 long Socket::read(char* into, std::size_t size, int flags) const {
-  const ssize_t n = ::recv(fd_, into, size, flags);
-  if (n < 0 && errno == EINTR) errno = EAGAIN;
-  return n;
+  const bool waits = (flags & MSG_DONTWAIT) == 0;
+  for (;;) {
+    const ssize_t n = ::recv(fd_, into, size, flags);
+    if (n >= 0 || errno != EINTR) return n;
+    if (waits) break;
+  }
+  errno = EAGAIN;
+  return -1;
 }
 
 long Socket::read_until(Clock::time_point then, char* into, std::size_t size) const {
@@ -156,7 +165,10 @@
 
 bool Socket::left() const {
   pollfd one{fd_, POLLRDHUP, 0};
-  if (::poll(&one, 1, 0) <= 0) return false;
+  int ready;
+  do ready = ::poll(&one, 1, 0);
+  while (ready < 0 && errno == EINTR);
+  if (ready <= 0) return false;
   if ((one.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0) return true;
   // Our own end of reading looks alike there.
   tcp_info info{};
@@ -212,13 +224,39 @@
   return parse_address(text, unused);
 }
 
-Socket new_socket() {
+Socket socket_if_any() {
   Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (socket.open()) send_at_once(socket.fd());
+  return socket;
+}
+
+Socket new_socket() {
+  Socket socket = socket_if_any();
   if (!socket.open()) fail("socket");
-  send_at_once(socket.fd());
   return socket;
 }
 
+namespace {
+
+// The start of a process is not to fail for a moment's want of descriptors.
+Socket awaited_socket() {
+  constexpr timespec kPause{0, 10000000};
+  constexpr int kMostTries = 1000;
+  for (int tries = 1;; ++tries) {
+    Socket socket = socket_if_any();
+    if (socket.open()) return socket;
+    if (!is_own_trouble(errno) || tries == kMostTries) fail("socket");
+    ::nanosleep(&kPause, nullptr);
+  }
+}
+
+}  // namespace
+
+bool is_own_trouble(int error) {
+  constexpr int kErrors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL};
+  return std::ranges::find(kErrors, error) != std::end(kErrors);
+}
+
 Socket accept_from(const Socket& listener, std::string& peer) {
   sockaddr_in from{};
   socklen_t size = sizeof from;
@@ -231,7 +269,7 @@
 
 Socket bound_to(const std::string& address) {
   const sockaddr_in at = read_address(address);
-  Socket socket = new_socket();
+  Socket socket = awaited_socket();
   const int on = 1;
   ::setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (::bind(socket.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
@@ -271,10 +309,12 @@
   const sockaddr_in to = read_address(address);
   const Clock::time_point until = Clock::now() + within;
   Milliseconds left = within;
-  for (bool last = false;;) {
+  for (bool last = false, interrupted = false;;) {
     socket.limit_sending(std::max(left, Milliseconds(1)));
     if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return 0;
+    if (interrupted && errno == EISCONN) return 0;
     if (errno != EINTR || last) return errno;
+    interrupted = true;
     left = std::chrono::ceil<Milliseconds>(until - Clock::now());
     last = left <= Milliseconds(0);
   }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -75,6 +75,11 @@
 // A listening socket that was left open for this process under a number. Throws where that is none.
 Socket inherited_listener(const std::string& number);
 Socket new_socket();
+// The same; not open, with errno, where the system refuses.
+Socket socket_if_any();
+// Whether such an error of socket() or connect() is this machine's want of descriptors, ports or memory: it
+// says nothing of the other end.
+bool is_own_trouble(int error);
 // Not open, with errno, where nobody came or the system refuses.
 Socket accept_from(const Socket& listener, std::string& peer);
 // 0 or errno.
