Two processes of a node share its cold budget, and a handover's ages count from when they were worded

Change: limits_shared also divides the cold budget (Policy::take_cold_part), the process that goes keeps a sixteenth; every message of a handover says when it was worded by the steady clock, which both processes share, and take_over reads ages as of then (a message without that field is read as before). A job whose client's connection cannot be duplicated is answered 502 at once; its message would have ended the handover of all others.

--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -9,6 +9,9 @@
 namespace canvasstage {
 namespace {
 
+// Of a cold budget, what a process keeps that hands over: the other one has the rest.
+constexpr double kPartOfGoing = 1.0 / 16;
+
 // Two processes read two clocks: all goes by how long ago it was.
 void write_sum(JsonWriter& json, const char* key, Time now, const DecayingSum& sum) {
   json.Key(key);
@@ -226,6 +229,7 @@
 
 void Node::begin_handover(Time now) {
   handing_over_ = true;
+  policy_.take_cold_part(kPartOfGoing);
   effects_.begin_handover(knowledge(now));
   for (std::size_t i = 0; i < places_.size(); ++i) hand_over_free_links(static_cast<int>(i));
   for (std::size_t i = 0; i < entries_.size(); ++i) hand_over_if_ready(static_cast<int>(i));
@@ -418,6 +422,7 @@
   part.descriptors = platform_.descriptors * sixteenths / 16;
   most_descriptors_ = usable(part);
   keep_to_descriptors();
+  if (!handing_over_) policy_.take_cold_part(sixteenths / 16.0);
 }
 
 }  // namespace canvasstage
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -74,6 +74,10 @@
   const auto& submission = static_cast<const Submitted&>(*job.submission);
   Upgrade::Message message;
   message.sockets.push_back(client.socket().duplicate());
+  if (!message.sockets.back().open()) {
+    log_note("upgrade: no descriptor to hand a job over by, it is answered as failed");
+    return client.answer(502, "", nullptr, true, true, writers_);
+  }
   const std::string_view head(submission.buffer.data(), submission.head.size());
   message.bytes.append(head).append(submission.body).append(client.carry());
   std::string readings;
@@ -104,16 +108,18 @@
 
 void Server::take_over(Time now, const JsonValue& message, const std::string& bytes,
                        std::vector<Socket> sockets) {
+  // Times go as ages, of when they were worded.
+  const Time as_of = worded_at(message, now);
   const std::string_view kind = text(needed(message, "kind"), "kind");
   if (kind == "knowledge") {
-    world_.node->knowledge_taken_over(now, needed(message, "knowledge"), now);
+    world_.node->knowledge_taken_over(now, needed(message, "knowledge"), as_of);
   } else if (sockets.empty()) {
     bad("descriptors are missing");
   } else if (kind == "link") {
     const std::string address(text(needed(message, "address"), "address"));
     const auto since = static_cast<Time>(number(needed(message, "since"), "since"));
     const Id id = world_.node->link_taken_over(
-        now, std::string(text(needed(message, "executor"), "executor")), address, now - since);
+        now, std::string(text(needed(message, "executor"), "executor")), address, as_of - since);
     if (id == 0) return;
     const std::shared_ptr<ExecutorConnection> link = new_link();
     link->stand_free(id, address, std::move(sockets[0]));
@@ -122,9 +128,9 @@
           Outcome::kUnsent);  // it has no attempt: one without a thread is found closed by the next look
   } else if (kind == "client") {
     take_client(now, std::move(sockets[0]), flag(message, "fresh"),
-                now - static_cast<Time>(number(needed(message, "opened"), "opened")), true, false, "");
+                as_of - static_cast<Time>(number(needed(message, "opened"), "opened")), true, false, "");
   } else if (kind == "job") {
-    take_job(now, message, bytes, std::move(sockets));
+    take_job(now, as_of, message, bytes, std::move(sockets));
   } else {
     bad("kind: not known");
   }
@@ -143,9 +149,9 @@
   return client;
 }
 
-void Server::take_job(Time now, const JsonValue& message, const std::string& bytes,
+void Server::take_job(Time now, Time as_of, const JsonValue& message, const std::string& bytes,
                       std::vector<Socket> sockets) {
-  MovedJob job = read_job(needed(message, "job"), now);
+  MovedJob job = read_job(needed(message, "job"), as_of);
   Cutter cutter(bytes);
   const std::string_view head = cutter.cut(message, "head"), body = cutter.cut(message, "body");
   std::string carry(cutter.cut(message, "carry"));
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -62,7 +62,8 @@
   void forget(const ExecutorConnection* link);
   std::shared_ptr<ClientConnection> take_client(Time now, Socket socket, bool fresh, Time opened,
                                                 bool keep_alive, bool open, std::string carry);
-  void take_job(Time now, const JsonValue& words, const std::string& bytes, std::vector<Socket> sockets);
+  void take_job(Time now, Time as_of, const JsonValue& words, const std::string& bytes,
+                std::vector<Socket> sockets);
 
   World& world_;
   Socket listener_;  // the listener thread's
--- a/src/net/upgrade.cpp
+++ b/src/net/upgrade.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint32_t kMostWords = 16 * 1024 * 1024;
 constexpr std::uint32_t kMostBytes = 8 * Buffer::kSize;
 constexpr std::size_t kMostSockets = 16;
+constexpr const char* kWordedField = "wordedAtUs";
 constexpr const char* kName = "canvasstage.sock";
 constexpr const char* kNewName = "canvasstage.sock.new";
 
@@ -43,6 +44,11 @@
   return Socket(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
 }
 
+// All processes of a machine share this clock.
+std::int64_t steady_microseconds() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
+}
+
 // All of it, without descriptors.
 bool read_all(const Socket& socket, char* into, std::size_t size) {
   while (size > 0) {
@@ -57,6 +63,14 @@
 
 }  // namespace
 
+Time worded_at(const JsonValue& words, Time now) {
+  constexpr std::int64_t kLongest = 60000000;  // microseconds: nothing is on its way for so long
+  const JsonValue& worded = member(words, kWordedField);
+  if (!worded.IsInt64()) return now;
+  const std::int64_t age = std::clamp<std::int64_t>(steady_microseconds() - worded.GetInt64(), 0, kLongest);
+  return now - age * kSecond / 1000000;
+}
+
 bool send_message(const Socket& socket, const Upgrade::Message& message) {
   const std::uint32_t sizes[3] = {static_cast<std::uint32_t>(message.words.size()),
                                   static_cast<std::uint32_t>(message.bytes.size()),
@@ -200,6 +214,8 @@
 }
 
 void Upgrade::send(Message message) {
+  message.words.insert(
+      1, std::string("\"") + kWordedField + "\":" + std::to_string(steady_microseconds()) + ",");
   const std::lock_guard lock(mutex_);
   queue_.push_back(std::move(message));
   changed_.notify_all();
--- a/src/net/upgrade.h
+++ b/src/net/upgrade.h
@@ -33,6 +33,7 @@
   bool start(const char* folder);
   bool has_successor() const { return has_successor_; }
   // From any thread, once there is an successor.
+  // Its words are a JSON object; when it was worded goes along.
   void send(Message message);
   void client_moves(Socket socket, bool fresh, Time since_opened) override;
   // Sends what is left, as long as that goes, and ends its threads.
@@ -56,6 +57,8 @@
   bool sending_ = false, broken_ = false;
 };
 
+// When the words of a message were worded, in this process's time; now, where they do not say.
+Time worded_at(const JsonValue& words, Time now);
 // One message over a Unix socket; false: the other side is gone, or what came is none.
 bool send_message(const Socket& socket, const Upgrade::Message& message);
 bool receive_message(const Socket& socket, Upgrade::Message& message);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -553,7 +553,7 @@
   const double age = std::max(0.0, seconds(now - settings_.fall_span - executor.started));
   const double warm = settings_.warm_up > 0 ? std::min(1.0, age / seconds(settings_.warm_up)) : 1.0;
   const double part = settings_.cold_from + (1 - settings_.cold_from) * warm;
-  return kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width(executor) *
+  return cold_part_ * kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width(executor) *
          seconds(settings_.fall_span);
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -176,6 +176,8 @@
   }
   void client_left(Time now, int submission);
   void hurry(Time now, int submission, Time due);  // its hard limit comes earlier: the node is to stop
+  // Another process of this node sends too: this part of the node's cold budgets is this one's.
+  void take_cold_part(double part) { cold_part_ = part; }
   // Use cases keep their indices; further ones come behind them.
   void settings_changed(Time now, Settings settings);
 
@@ -296,6 +298,7 @@
   Time shared_at_ = -kNever;
   static constexpr double kPlenty = 1e9;
   double room_ = kPlenty;   // launches that this node may send until the next weights
+  double cold_part_ = 1;    // of what this node may send to cold executors
   DecayingSum keyed_work_;  // asked of late with a key
   double speed_sum_ = 0;    // of the ready executors whose speed is known
   int speed_count_ = 0;
