--- a/lab/fleet/soak.cpp
+++ b/lab/fleet/soak.cpp
@@ -379,10 +379,12 @@
         if (fleet_.started(over.place)) fleet_.node(over.place).resume();
         return;
       case Trouble::kDiscoveryLink:
+        judge_.discovery_back(steady_us());
         return fleet_.set_discovery_link(over.place, LinkFault::kNone);
       case Trouble::kDiscoveryDown:
         fleet_.start_discovery(++generation_, listed_now());
         discovery_up_ = true;
+        judge_.discovery_back(steady_us());
         return;
       case Trouble::kExecutorLink:
         return fleet_.set_executor_link(over.place, LinkFault::kNone);
--- a/lab/fleet/soak_judge.h
+++ b/lab/fleet/soak_judge.h
@@ -2,6 +2,7 @@
 // effect twice, nothing for a client that left, nothing new to an executor that drains.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -36,6 +37,10 @@
   void node_killed(int node, std::int64_t at_us) { kills_[node].push_back(at_us); }
   // The list says so from then on; discovery may be out of a node's reach.
   void executor_drains(std::size_t executor, std::int64_t at_us) { draining_since_[executor] = at_us; }
+  // Discovery could not be reached before, by all nodes or by one: what it had to tell counts from now on.
+  void discovery_back(std::int64_t at_us) {
+    for (auto& [executor, since] : draining_since_) since = std::max(since, at_us);
+  }
   void executor_active(std::size_t executor) { draining_since_.erase(executor); }
   // What is written to it may come later: when a job began there says nothing of when its node wrote it.
   void link_holds(std::size_t executor, std::int64_t from_us, std::int64_t until_us) {
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -82,6 +82,8 @@
   virtual void open_listener() = 0;
   virtual void close_listener() = 0;
   virtual void publish(const Figures& figures) = 0;
+  // A line of the node's log.
+  virtual void note(const std::string&) {}
   // Whether another process of this node is there to take on what this one has.
   virtual bool has_successor() = 0;
   // From then on each launch is told of as parked as soon as it waits for its executor, and each idle client
--- a/src/core/figures.h
+++ b/src/core/figures.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "core/rule_monitor.h"
+
 namespace canvasstage {
 
 struct Figures {
@@ -21,6 +23,7 @@
   std::uint64_t taken = 0, left = 0, handed_over = 0, outstanding = 0;
   std::uint64_t reloads_applied = 0, reloads_rejected = 0;
   int listed = 0, avoided = 0;  // executors
+  RuleMonitor::Counts violations{};
   bool ready = false;
 };
 
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -293,6 +293,7 @@
   ++figures_.handed_over;
   clients_.at(entry.client).submission = -1;
   entry.ended = true;
+  rules_.request_over(submission);
   entry.pending = 0;
   policy_.submission_handed_over(now_, submission);
   release_if_over(submission);
@@ -398,6 +399,8 @@
     }
     moved.launch.executor = known->second;
     job.state.launches.push_back(moved.launch);
+    rules_.attempt_known(index, known->second, moved.launch.sent, moved.launch.pending,
+                         moved.launch.may_have_run);
     if (!moved.launch.pending) {
       entry.launches.push_back(0);
       continue;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -34,6 +34,23 @@
 // down, and nine in ten are to be ready in 6 s on the shortest days.
 constexpr Time kMostListWait = 4 * kSecond;
 
+const char* name_of(Answer answer) {
+  return answer == Answer::kSatisfied    ? "succeeded"
+         : answer == Answer::kPushedBack ? "shed"
+         : answer == Answer::kRejected   ? "rejected"
+                                         : "failed";
+}
+
+const char* name_of(Outcome outcome) {
+  static constexpr const char* kNames[] = {"succeeded", "errored", "turned_away", "timed_out", "unreachable",
+                                           "broken",    "stale",   "cancelled",   "unsent",    "rejected"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
+bool may_have_run(Outcome outcome) {
+  return outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
+}
+
 }  // namespace
 
 // FNV-1a, 64 bits.
@@ -103,6 +120,7 @@
   clients_.erase(found);
   if (submission >= 0) {
     entries_[submission].ended = true;
+    rules_.request_over(submission);
     ++figures_.left;
     policy_.client_left(now, submission);
     withdraw_launches(submission);
@@ -153,7 +171,9 @@
   entry.due = due;
   entry.pending = 0;
   entry.rejected = 0;
+  entry.last_outcome.reset();
   entry.ended = false;
+  rules_.request_taken(index, settings_.use_cases[static_cast<std::size_t>(use_case)], due);
   return index;
 }
 
@@ -162,6 +182,36 @@
   count_end(use_case, Answer::kPushedBack);
 }
 
+void Node::check(const std::optional<RuleViolation>& violation, const std::string& id) {
+  if (!violation) return;
+  effects_.note("rule violated: " + std::string(name_of(violation->rule)) + ": request " + id + ": " +
+                violation->what);
+}
+
+// Why it was not served: what became of its attempts, and how much time was left.
+void Node::note_unserved(int submission, Answer answer) {
+  const Entry& entry = entries_[submission];
+  effects_.note("answer request=" + entry.id + " result=" + name_of(answer) +
+                " attempts=" + std::to_string(entry.launches.size()) +
+                " last=" + (entry.last_outcome ? name_of(*entry.last_outcome) : "none") +
+                " left_ms=" + std::to_string((entry.due - now_) / (kSecond / 1000)));
+}
+
+void Node::note_retry(int submission, int executor) {
+  const Entry& entry = entries_[submission];
+  effects_.note("retry request=" + entry.id + " attempt=" + std::to_string(entry.launches.size()) +
+                " executor=" + places_[executor].id +
+                " after=" + (entry.last_outcome ? name_of(*entry.last_outcome) : "none"));
+}
+
+// Those that a whole list does not name are gone.
+void Node::tell_monitor_of_executors() {
+  for (std::size_t i = 0; i < policy_.executors.size(); ++i) {
+    const Executor& executor = policy_.executors[i];
+    rules_.executor_told(now_, static_cast<int>(i), executor.standing, executor.zone, executor.cell);
+  }
+}
+
 void Node::count_end(int use_case, Answer answer) {
   Figures::UseCase& line = figures_.use_cases[lines_[use_case]];
   ++(answer == Answer::kSatisfied    ? line.satisfied
@@ -174,6 +224,8 @@
   if (entry.ended) return;
   entry.ended = true;
   count_end(entry.use_case, answer);
+  check(rules_.request_answered(now_, submission), entry.id);
+  if (answer != Answer::kSatisfied) note_unserved(submission, answer);
   Client& client = clients_.at(entry.client);
   client.submission = -1;
   client.idle_since = now_;
@@ -291,6 +343,11 @@
           .first->second;
   entry.launches.push_back(id);
   ++entry.pending;
+  const std::optional<RuleViolation> violation =
+      rules_.attempt_to_send(now_, submission, executor, give_up_at, terms_.drain_grace);
+  check(violation, entry.id);
+  if (violation) return end_unsent(id, running);
+  if (entry.launches.size() > 1) note_retry(submission, executor);
   Id over = 0;
   if (!place.free.empty()) {
     over = place.free.back().launch;
@@ -298,10 +355,7 @@
   } else if (descriptors_used() < most_descriptors_ || close_longest_free_link()) {
     ++links_;
   } else {
-    // No descriptor is left. A short pause, so that the module's next try does not come at once.
-    constexpr Time kPause = kSecond / 50;
-    running.unsent = true;
-    return effects_.wake_at(now_ + kPause, kLaunchToken | id);
+    return end_unsent(id, running);  // no descriptor is left
   }
   // What it waits for, a connection that comes up late above all, must not carry it beyond the window in
   // which a repeat is recognised; the way there counts.
@@ -315,6 +369,13 @@
   effects_.wake_at(give_up_at, kLaunchToken | id);
 }
 
+// After a short pause, so that the module's next try does not come at once.
+void Node::end_unsent(Id launch, Running& running) {
+  constexpr Time kPause = kSecond / 50;
+  running.unsent = true;
+  effects_.wake_at(now_ + kPause, kLaunchToken | launch);
+}
+
 void Node::cancel(int submission, int launch) {
   const Id id = entries_[submission].launches[launch];
   const auto found = running_.find(id);
@@ -392,6 +453,8 @@
   if (outcome == Outcome::kRejected && ++entry.rejected == 2)
     answer(running.submission, Answer::kRejected, nullptr, 0);
   const Time sent = policy_.submissions[running.submission].launches[running.number].sent;
+  entry.last_outcome = outcome;
+  rules_.attempt_ended(running.submission, static_cast<std::size_t>(running.number), may_have_run(outcome));
   policy_.launch_ended(now, running.submission, running.number, outcome, now - sent, entry.ended, load);
   if (logs_attempts(entry.use_case))
     attempt_ended(launch, policy_.submissions[running.submission].launches[running.number].may_have_run,
@@ -424,6 +487,7 @@
   if (restarted && std::exchange(place.restored, false)) policy_.executor_learned(now, index, {});
   policy_.executor_listed(now, index, index_of(terms_.zones, zone), index_of(terms_.machine_kinds, kind),
                           cell, standing, place.started, weight, hash_of(id));
+  rules_.executor_told(now, index, standing, policy_.executors[index].zone, cell);
 }
 
 void Node::roster_arrived(Time now, RosterForm form, std::uint64_t version) {
@@ -435,6 +499,7 @@
   if (form != RosterForm::kRemembered) list_currency_.told();
   list_changed();
   policy_.roster_arrived(now, form);
+  if (form == RosterForm::kWhole) tell_monitor_of_executors();
   if (form == RosterForm::kRemembered) return;
   list_from_discovery_ = true;
   recovery_ == nullptr ? open_listener() : open_if_settled(now);
@@ -572,6 +637,7 @@
     ended += line.satisfied + line.pushed_back + line.aborted;
   ended += figures_.handed_over;
   figures_.outstanding = figures_.taken - ended;
+  figures_.violations = rules_.counts();
   figures_.listed = figures_.avoided = 0;
   for (const Executor& executor : policy_.executors) {
     if (executor.standing == Standing::kGone) continue;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -14,6 +14,7 @@
 
 #include "core/effects.h"
 #include "core/list_currency.h"
+#include "core/rule_monitor.h"
 #include "core/settings.h"
 #include "policy.h"
 #include "recovery/node_recovery.h"
@@ -139,7 +140,8 @@
     int use_case = 0;
     Time due = 0;  // as its client said
     int pending = 0;
-    int rejected = 0;  // launches of it that were
+    int rejected = 0;                     // launches of it that were
+    std::optional<Outcome> last_outcome;  // of its attempts
     bool ended = true;
   };
   struct Client {
@@ -207,8 +209,13 @@
   void recovery_tick(Time now);
   void save_list(Time now);
   void save_learned(Time now);
+  void end_unsent(Id launch, Running& running);
   void launch_timer_due(Time now, Id launch);
   void count_end(int use_case, Answer answer);
+  void check(const std::optional<RuleViolation>& violation, const std::string& id);
+  void note_unserved(int submission, Answer answer);
+  void note_retry(int submission, int executor);
+  void tell_monitor_of_executors();
   void show_use_cases();
   void publish(Time now);
   void open_listener();
@@ -231,6 +238,7 @@
   std::vector<Entry> entries_;
   std::unordered_set<std::string> ids_;  // of the entries in use
   std::vector<int> unused_;
+  RuleMonitor rules_;
   int links_ = 0;         // executor connections, busy or free
   Time asked_ = -kNever;  // discovery, in the call that has told nothing yet
   ListCurrency list_currency_;
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -67,6 +67,7 @@
                             executor.started, executor.weight, executor.identity);
     ++removed;
   }
+  tell_monitor_of_executors();
   list_changed();
   recovery_->note("recovery: the short list holds, " + std::to_string(removed) + " executors are removed");
 }
@@ -208,6 +209,7 @@
   state.due = std::min(entry.due, stop_by_);
   state.launches.push_back(launch);
   entry.launches.push_back(0);
+  rules_.attempt_known(submission, executor, launch.sent, launch.pending, launch.may_have_run);
   policy_.submission_taken_over(now, submission, std::move(state));
   return true;
 }
--- a/src/net/console.cpp
+++ b/src/net/console.cpp
@@ -95,6 +95,13 @@
   line("outstanding", "gauge", figures.outstanding);
   line("discovered", "gauge", static_cast<std::uint64_t>(figures.listed));
   line("ejected", "gauge", static_cast<std::uint64_t>(figures.avoided));
+  type("rule_violations_total", "counter");
+  for (std::size_t rule = 0; rule < kRules; ++rule)
+    out.append("node_rule_violations_total{rule=\"")
+        .append(name_of(static_cast<Rule>(rule)))
+        .append("\"} ")
+        .append(std::to_string(figures.violations[rule]))
+        .append("\n");
   line("sighup_applied_total", "counter", figures.reloads_applied);
   line("sighup_rejected_total", "counter", figures.reloads_rejected);
   return out;
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -43,6 +43,7 @@
   void open_listener() override;
   void close_listener() override;
   void publish(const Figures& figures) override { world_.board.publish(figures); }
+  void note(const std::string& line) override { log_note(line); }
   bool has_successor() override { return upgrade_ != nullptr && upgrade_->has_successor(); }
   void begin_handover(std::string knowledge) override;
   void hand_over(const MovedJob& job) override;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -108,6 +108,7 @@
   std::vector<std::string> watches;  // their addresses
   std::vector<Time> watched_for;
   bool listening = false, running = true;
+  std::vector<std::string> notes;
   Figures figures;
   struct Link {
     Id launch;
@@ -140,6 +141,7 @@
   void open_listener() override { listening = true; }
   void close_listener() override { listening = false; }
   void publish(const Figures& now) override { figures = now; }
+  void note(const std::string& line) override { notes.push_back(line); }
   bool has_successor() override { return successor; }
   void begin_handover(std::string knowledge) override { handed_knowledge = std::move(knowledge); }
   void hand_over(const MovedJob& job) override { handed_jobs.push_back(job); }
