The soak has clients that write half a request and stay, and its messages are tested

Cause: such a client is owed its error or a close within 3 s, and the soak had none. Change: one request in a hundred halts; the judge calls it broken where nothing comes for 3.3 s.

--- a/lab/fleet/messages.cpp
+++ b/lab/fleet/messages.cpp
@@ -37,14 +37,14 @@
 std::string encode(const SendRequest& message) {
   return line_of("send", message.request, message.node, message.use_case,
                  message.idempotency_key.empty() ? kNoKey : message.idempotency_key, message.time_left_ms,
-                 message.leave_after_ms);
+                 message.leave_after_ms, message.halts);
 }
 
 std::optional<SendRequest> decode_send_request(const std::string& line) {
   SendRequest message;
   Words words(line, "send");
   if (!words.read(message.request, message.node, message.use_case, message.idempotency_key,
-                  message.time_left_ms, message.leave_after_ms))
+                  message.time_left_ms, message.leave_after_ms, message.halts))
     return std::nullopt;
   if (message.idempotency_key == kNoKey) message.idempotency_key.clear();
   return message;
--- a/lab/fleet/messages.h
+++ b/lab/fleet/messages.h
@@ -19,6 +19,7 @@
   std::string node, use_case, idempotency_key;  // no key: none is sent
   int time_left_ms = 0;
   int leave_after_ms = 0;  // its client closes its connection so long after it has sent it; 0: it stays
+  bool halts = false;      // its client writes half of it and stays
 };
 std::string encode(const SendRequest& message);
 std::optional<SendRequest> decode_send_request(const std::string& line);
--- a/lab/fleet/request_sender.cpp
+++ b/lab/fleet/request_sender.cpp
@@ -44,7 +44,7 @@
   if (!request.idempotency_key.empty()) writer.field("Idempotency-Key", request.idempotency_key);
   writer.body("work");
   stream->start([this](Stream& one) { read_from(one); });
-  stream->send(bytes);
+  stream->send(request.halts ? std::string_view(bytes).substr(0, bytes.size() / 2) : std::string_view(bytes));
   close_after(request.time_left_ms / 1000.0 + kSlack, stream, RequestEnd::kOverdue);
   if (request.leave_after_ms > 0) close_after(request.leave_after_ms / 1000.0, stream, RequestEnd::kLeft);
 }
--- a/lab/fleet/soak.cpp
+++ b/lab/fleet/soak.cpp
@@ -15,6 +15,8 @@
 constexpr double kStopLimit = 4.5;    // seconds from SIGTERM to the end of a node, as the platform kills then
 constexpr double kClientsMove = 0.3;  // seconds after SIGTERM for which clients still choose a node
 constexpr double kLastAnswers = 8;    // seconds after the play until every request has ended
+constexpr int kBadClientLimit =
+    2800;  // milliseconds; half a second later it is overdue, and it is owed an end in 3 s
 constexpr std::uint64_t kGeneration = 100;
 
 double random_between(std::mt19937_64& random, double least, double most) {
@@ -204,7 +206,10 @@
           "soak-" + std::to_string(plan_.fleet.seed) + "-" + std::to_string(++keys_);
     request.at_most_once = kind == 2;
     request.sent.time_left_ms = static_cast<int>(random_between(random_, 200, 3000));
-    if (random_between(random_, 0, 1) < plan_.leaving)
+    if (random_between(random_, 0, 1) < plan_.halting) {
+      request.sent.halts = true;
+      request.sent.time_left_ms = kBadClientLimit;
+    } else if (random_between(random_, 0, 1) < plan_.leaving)
       request.sent.leave_after_ms = static_cast<int>(random_between(random_, 1, 120));
     request.node = -1;
     send(std::move(request), bound_by_log(request) ? 40 : 6);
--- a/lab/fleet/soak.h
+++ b/lab/fleet/soak.h
@@ -42,6 +42,7 @@
   double seconds = 20;
   double rate = 400;         // requests a second over all nodes
   double leaving = 0.15;     // share of the requests whose client leaves early
+  double halting = 0.01;     // share whose client writes half of it and stays
   int troubles_at_once = 6;  // each begins and ends by itself
   double focus = 3;          // seconds for which one node gets most troubles, and a third of the requests
   std::vector<Trouble> troubles{std::begin(kTroubles), std::end(kTroubles)};
--- a/lab/fleet/soak_judge.cpp
+++ b/lab/fleet/soak_judge.cpp
@@ -56,7 +56,7 @@
       ++(end.status == 200                        ? counts_.served
          : end.status == 429 || end.status == 503 ? counts_.refused
                                                   : counts_.failed);
-      if (end.status >= 400 && end.status < 500 && end.status != 429)
+      if (end.status >= 400 && end.status < 500 && end.status != 429 && !request.sent.halts)
         violated("answer", id + " is called a bad request: " + std::to_string(end.status) + " after " + took);
       return;
     case RequestEnd::kUnreachable:
@@ -67,6 +67,7 @@
       return;
     case RequestEnd::kBroken:
     case RequestEnd::kOverdue:
+      if (request.sent.halts && end.end == RequestEnd::kBroken) return;  // an end is all that it is owed
       if (killed_between(request.node, end.sent_us, end.ended_us)) {
         ++counts_.cut_off;
         return;
--- a/tests/lab_fleet_test.cpp
+++ b/tests/lab_fleet_test.cpp
@@ -13,7 +13,7 @@
 constexpr double kShort = 0.2;  // seconds in which nothing may come
 
 TEST(LabFleetMessages, EachIsReadAsItWasWritten) {
-  const SendRequest request{7, "127.0.0.1:80", "render", "", 1500};
+  const SendRequest request{7, "127.0.0.1:80", "render", "", 1500, 40, true};
   const auto read = decode_send_request(encode(request));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->request, 7u);
@@ -21,12 +21,27 @@
   EXPECT_EQ(read->use_case, "render");
   EXPECT_EQ(read->idempotency_key, "");
   EXPECT_EQ(read->time_left_ms, 1500);
+  EXPECT_EQ(read->leave_after_ms, 40);
+  EXPECT_TRUE(read->halts);
 
-  const auto begun = decode_begun_job(encode(BegunJob{3, "id", "key"}));
+  const auto answered = decode_request_answered(encode(RequestAnswered{7, 0, RequestEnd::kLeft, 5, 9}));
+  ASSERT_TRUE(answered);
+  EXPECT_EQ(answered->end, RequestEnd::kLeft);
+  EXPECT_EQ(answered->sent_us, 5);
+  EXPECT_EQ(answered->ended_us, 9);
+
+  const auto job_fault = decode_set_job_fault(encode(SetJobFault{JobFault::kSilent, 0.25}));
+  ASSERT_TRUE(job_fault);
+  EXPECT_EQ(job_fault->kind, JobFault::kSilent);
+  EXPECT_DOUBLE_EQ(job_fault->share, 0.25);
+
+  const auto begun = decode_begun_job(encode(BegunJob{3, "id", "key", 480, 12}));
   ASSERT_TRUE(begun);
   EXPECT_EQ(begun->executor, 3u);
   EXPECT_EQ(begun->id, "id");
   EXPECT_EQ(begun->idempotency_key, "key");
+  EXPECT_EQ(begun->time_left_ms, 480);
+  EXPECT_EQ(begun->at_us, 12);
 
   ListedExecutor one;
   one.id = "s-1";
