--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -553,8 +553,8 @@
   const double age = std::max(0.0, seconds(now - settings_.fall_span - executor.started));
   const double warm = settings_.warm_up > 0 ? std::min(1.0, age / seconds(settings_.warm_up)) : 1.0;
   const double part = settings_.cold_from + (1 - settings_.cold_from) * warm;
-  return cold_part_ * kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) * width(executor) *
-         seconds(settings_.fall_span);
+  return cold_part_ * kSlack * settings_.fall_multiple / settings_.replicas * part * speed(executor) *
+         width(executor) * seconds(settings_.fall_span);
 }
 
 // --- Health ---
@@ -941,8 +941,7 @@
   Launch& launch = submission.launches[number];
   if (!launch.pending) return;
   close_launch(now, submission, launch);
-  launch.may_have_run =
-      outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
+  launch.may_have_run = may_have_run(outcome);
   Executor& executor = executors[launch.executor];
   if (!tells_held(now, executor) || executor.held <= most_held(executor)) room_ += 1;
   executor.used = now;
--- a/src/policy.h
+++ b/src/policy.h
@@ -36,6 +36,11 @@
   kRejected  // the executor says that it is no request: the submission's fault, or this executor's
 };
 
+// Whether an attempt that ended so may have taken effect.
+constexpr bool may_have_run(Outcome outcome) {
+  return outcome != Outcome::kTurnedAway && outcome != Outcome::kUnreachable && outcome != Outcome::kUnsent;
+}
+
 struct UseCase {
   Time agreed_time = kSecond;
   Time hard_limit = 0;  // 0: not told
