The listener rests only where accepts are refused one after another

Change: RefusalPause: none after the first refusal, then 0.25 ms, doubled up to the 10 ms of before, from the start again with each connection that is taken.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -13,6 +13,24 @@
 // How long a connection waits for a thread where the system has none.
 constexpr Time kMostThreadWait = kSecond / 4;
 
+// Between two accepts that the system refuses: none after the first, as what waits grows old meanwhile, then
+// longer and longer ones.
+class RefusalPause {
+ public:
+  void over() { next_ns_ = 0; }
+  void wait() {
+    constexpr long kFirst = 250000, kLongest = 10000000;  // nanoseconds
+    if (next_ns_ > 0) {
+      const timespec pause{0, next_ns_};
+      ::nanosleep(&pause, nullptr);
+    }
+    next_ns_ = std::clamp(2 * next_ns_, kFirst, kLongest);
+  }
+
+ private:
+  long next_ns_ = 0;
+};
+
 }  // namespace
 
 // Three quarters of the descriptors: the reducer closes what is idle from a half on, but the listener may be
@@ -53,6 +71,7 @@
   // Its options are another process's too, which sets the same.
   listener_.limit_reading(kQuiet);
   Time came = 0;  // when the last one did
+  RefusalPause pause;
   for (;;) {
     if (upgrade_ != nullptr) {
       // What waits there once this one closes is the other's; and what was seen may be gone by now.
@@ -64,13 +83,13 @@
     if (Socket socket = full ? Socket() : accept_from(listener_, peer); socket.open()) {
       accept(std::move(socket), std::move(peer));
       came = now();
+      pause.over();
       continue;
     }
-    if (full || errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+    if (full || is_own_trouble(errno)) {
       // Nothing to accept with; the reducer is closing what is idle, while it runs.
       if (world_.reducer.finished()) break;
-      constexpr timespec kPause{0, 10000000};
-      ::nanosleep(&kPause, nullptr);
+      pause.wait();
       continue;
     }
     // Any other error says nothing of what still waits.
