--- a/lab/fleet/soak.cpp
+++ b/lab/fleet/soak.cpp
@@ -212,7 +212,8 @@
     } else if (random_between(random_, 0, 1) < plan_.leaving)
       request.sent.leave_after_ms = static_cast<int>(random_between(random_, 1, 120));
     request.node = -1;
-    send(std::move(request), bound_by_log(request) ? 40 : 6);
+    const int tries = bound_by_log(request) ? 40 : 6;
+    send(std::move(request), tries);
   }
 
   // Whether its node knows of its attempts also after it was killed.
