--- a/src/core/rule_monitor.cpp
+++ b/src/core/rule_monitor.cpp
@@ -49,7 +49,9 @@
 
 void RuleMonitor::request_taken(int request, const UseCase& terms, Time due) {
   RequestSeen& seen = request_at(request);
-  seen.terms = terms;
+  seen.effect = terms.effect;
+  seen.group = terms.group;
+  seen.window = terms.window;
   seen.due = due;
   seen.over = false;
   seen.attempts.clear();
@@ -95,16 +97,16 @@
   if (std::ranges::any_of(request.attempts, &AttemptSeen::pending))
     return violated(Rule::kEffectOnce, "an attempt beside one that is out");
   const auto ran = std::ranges::find(request.attempts, true, &AttemptSeen::may_have_run);
-  if (ran == request.attempts.end() || request.terms.effect == Effect::kReplayable) return std::nullopt;
-  if (request.terms.effect == Effect::kSingleUse)
+  if (ran == request.attempts.end() || request.effect == Effect::kReplayable) return std::nullopt;
+  if (request.effect == Effect::kSingleUse)
     return violated(Rule::kEffectOnce, "a further attempt of one that may have run and may not run twice");
-  if (now > ran->sent + request.terms.window)
+  if (now > ran->sent + request.window)
     return violated(Rule::kEffectOnce, "a further attempt " + milliseconds(now - ran->sent) +
                                            " after the first, outside its window");
   const ExecutorSeen& first = executor_at(ran->executor);
   const ExecutorSeen& to = executor_at(executor);
-  const bool outside = (request.terms.group == Group::kZone && first.zone != to.zone) ||
-                       (request.terms.group == Group::kCell && first.cell != to.cell);
+  const bool outside = (request.group == Group::kZone && first.zone != to.zone) ||
+                       (request.group == Group::kCell && first.cell != to.cell);
   if (outside) return violated(Rule::kEffectOnce, "a further attempt outside the group of the first");
   return std::nullopt;
 }
--- a/src/core/rule_monitor.h
+++ b/src/core/rule_monitor.h
@@ -64,10 +64,13 @@
     Time sent = 0;
     bool pending = true, may_have_run = true;
   };
+  // Thousands may be open: what is needed of its terms, and no more.
   struct RequestSeen {
-    UseCase terms;
-    Time due = 0;
+    Effect effect = Effect::kReplayable;
+    Group group = Group::kAll;
     bool over = true;
+    Time window = 0;
+    Time due = 0;
     std::vector<AttemptSeen> attempts;
   };
   RequestSeen& request_at(int request);
