--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -208,12 +208,16 @@
   answered_.notify_all();
 }
 
+Time ClientConnection::arrival_of_last_bytes() const {
+  return now() - socket_.since_last_bytes().count() * kSecond / 1000000;
+}
+
 void ClientConnection::go_on(bool fresh, Time opened, bool keep_alive, bool open, std::string carry) {
   fresh_ = fresh;
   opened_ = opened;
   keep_alive_ = keep_alive;
   carry_ = std::move(carry);
-  if (!carry_.empty()) came_ = now() - socket_.since_last_bytes().count() * kSecond / 1000000;
+  if (!carry_.empty()) came_ = arrival_of_last_bytes();
   const std::lock_guard lock(mutex_);
   if (open) phase_ = Phase::kOpen;
 }
@@ -322,7 +326,7 @@
     const long n = socket_.read(submission.buffer.data() + size, Buffer::kSize - size);
     if (n > 0) {
       size += static_cast<std::size_t>(n);
-      came_ = now() - socket_.since_last_bytes().count() * kSecond / 1000000;
+      came_ = arrival_of_last_bytes();
       return true;
     }
     const int error = errno;
@@ -507,7 +511,7 @@
 }
 
 bool ClientConnection::turn_away(Reason& reason) {
-  if (lingers_) return !drop_what_comes() || now() >= lingers_until_;
+  if (lingers_) return !drop_what_comes(MSG_DONTWAIT) || now() >= lingers_until_;
   {
     const std::lock_guard lock(mutex_);
     if (phase_ == Phase::kOpen) return false;  // its answer is on its way, and the reducer's
@@ -535,21 +539,20 @@
   return false;
 }
 
-// False: its client has ended its side too, or the connection is broken.
-bool ClientConnection::drop_what_comes() {
+// The kernel drops the bytes without copying them: 60 MB of them cost others their part of the core. False:
+// its client has ended its side too, or the connection is broken.
+bool ClientConnection::drop_what_comes(int flags) const {
   constexpr std::size_t kPart = 1024 * 1024;
-  const long n = socket_.read(nullptr, kPart, MSG_TRUNC | MSG_DONTWAIT);
+  const long n = socket_.read(nullptr, kPart, MSG_TRUNC | flags);
   return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
-// Our side has ended. The kernel drops the bytes without copying them: 60 MB of them cost others their part
-// of the core.
+// Our side has ended.
 void ClientConnection::linger() {
   const Time until = now() + kLinger;
   wait_until(until);
-  constexpr std::size_t kPart = 1024 * 1024;
-  for (long n = 1; now() < until && (n > 0 || (n < 0 && errno == EAGAIN));)
-    n = socket_.read(nullptr, kPart, MSG_TRUNC);
+  while (now() < until && drop_what_comes(0)) {
+  }
 }
 
 }  // namespace canvasstage::net
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -101,7 +101,8 @@
   bool answer_last(const std::string& bytes, Reason why, Reason& reason);
   void tell_turned_away();
   void linger();
-  bool drop_what_comes();
+  bool drop_what_comes(int flags) const;
+  Time arrival_of_last_bytes() const;
   void answered(bool last);
 
   const Id id_;
