Review: a port that is taken between its choice and the node's bind is replaced

Cause: a stand-in chooses a free port for the node, and another process may take it before the node binds it; the case could not run then.

--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -407,16 +407,28 @@
   pid_t pid_ = -1;
 };
 
-// Waits until `GET path` at the port is answered with 200. Throws after `for_ms`.
-inline void wait_for_200(int port, const std::string& path, double for_ms) {
-  for (const double until = now_ms() + for_ms; now_ms() < until; sleep_ms(20)) {
-    Connection connection = connect_to(port);
-    Message answer;
-    if (connection.is_open() && connection.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n") &&
-        read_message(connection, answer, now_ms() + 1000) && answer.status() == 200)
-      return;
+// Whether `GET path` at the port is answered with 200.
+inline bool answers_200(int port, const std::string& path) {
+  Connection connection = connect_to(port);
+  Message answer;
+  return connection.is_open() && connection.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n") &&
+         read_message(connection, answer, now_ms() + 1000) && answer.status() == 200;
+}
+
+// Starts a node and waits until its second address says that it is ready. `options` gets the port of that address.
+// A port that was free may be taken by the time the node binds it: the node ends then, and other ports are tried.
+inline std::unique_ptr<Node> start_node(const std::function<Node::Options(int console)>& options) {
+  constexpr double kStartMs = 8000;
+  constexpr int kTries = 10;
+  for (int tries = 0; tries < kTries; ++tries) {
+    const int console = free_port();
+    auto node = std::make_unique<Node>(options(console));
+    for (const double until = now_ms() + kStartMs; node->runs(); sleep_ms(20)) {
+      if (answers_200(console, "/_ready")) return node;
+      if (now_ms() > until) throw CannotRun("a node is not ready in time");
+    }
   }
-  throw CannotRun("no 200 for " + path);
+  throw CannotRun("a node does not start");
 }
 
 inline void write_file(const std::string& path, const std::string& content) {
