Review: a case ends at its result, not after taking its stand-ins apart

Cause: a case's play returned, and so took down its executors and records, while threads of the stand-ins still used them. A play with many connections then ended now and then with 2 (std::bad_alloc in such a thread) in place of its result.

Change: play ends the program itself by finish(), with its folder removed. The rig can give settings with machine kinds and another seed, as case 3 needs them. The files are formatted.

--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -95,7 +95,8 @@
     const int enabled = 1;
     if (fd_ >= 0) ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
   }
-  Connection(Connection&& other) noexcept : fd_(std::exchange(other.fd_, -1)), bytes_(std::move(other.bytes_)) {}
+  Connection(Connection&& other) noexcept
+      : fd_(std::exchange(other.fd_, -1)), bytes_(std::move(other.bytes_)) {}
   Connection& operator=(Connection&& other) noexcept {
     std::swap(fd_, other.fd_);
     std::swap(bytes_, other.bytes_);
@@ -196,7 +197,8 @@
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = loopback(port);
   Connection connection(fd);
-  if (fd < 0 || ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) connection.close();
+  if (fd < 0 || ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    connection.close();
   return connection;
 }
 
@@ -246,7 +248,8 @@
     }
   }
   const std::string length = message.field("Content-Length");
-  return length.empty() || connection.read_exactly(std::strtoul(length.c_str(), nullptr, 10), message.body, until_ms);
+  return length.empty() ||
+         connection.read_exactly(std::strtoul(length.c_str(), nullptr, 10), message.body, until_ms);
 }
 
 inline std::string chunk(const std::string& text) {
@@ -281,6 +284,7 @@
   int port = 0;
   std::string zone = "hobart", lifecycle = "active";
   int cell = 1;
+  std::string machine_kind = "big-box";
 };
 
 // Gives the whole list to each watch, again at each change, and an empty line each second.
@@ -303,8 +307,8 @@
     std::string out = "{\"generation\":" + std::to_string(generation_) + ",\"reset\":true,\"instances\":[";
     for (std::size_t i = 0; i < list_.size(); ++i)
       out += std::string(i > 0 ? "," : "") + "{\"instanceId\":\"" + list_[i].id + "\",\"hostPort\":\"" +
-             address_of(list_[i].port) + "\",\"zone\":\"" + list_[i].zone +
-             "\",\"machineType\":\"big-box\",\"cell\":" + std::to_string(list_[i].cell) + ",\"lifecycle\":\"" +
+             address_of(list_[i].port) + "\",\"zone\":\"" + list_[i].zone + "\",\"machineType\":\"" +
+             list_[i].machine_kind + "\",\"cell\":" + std::to_string(list_[i].cell) + ",\"lifecycle\":\"" +
              list_[i].lifecycle + "\",\"weight\":1.0,\"startedAtMs\":0}";
     return out + "]}\n";
   }
@@ -358,17 +362,19 @@
 
 // --- The node ---
 
-// A process of the node's program, started from the project's root by the deploy file's command. Killed at the end.
+// A process of the node's program, started from the project's root by the deploy file's command. Killed at
+// the end.
 class Node {
  public:
   struct Options {
-    std::string config;                 // path
-    std::string log;                    // path of its log
+    std::string config;                  // path
+    std::string log;                     // path of its log
     std::vector<std::string> variables;  // NAME=VALUE
     int inherited_listener = -1;         // becomes descriptor 3
   };
   explicit Node(const Options& options) {
-    if (::access("build/canvasstage", X_OK) != 0) throw CannotRun("build/canvasstage is missing: build it first");
+    if (::access("build/canvasstage", X_OK) != 0)
+      throw CannotRun("build/canvasstage is missing: build it first");
     const int log = ::open(options.log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     pid_ = ::fork();
     if (pid_ < 0) throw CannotRun("cannot start a process");
@@ -415,8 +421,9 @@
          read_message(connection, answer, now_ms() + 1000) && answer.status() == 200;
 }
 
-// Starts a node and waits until its second address says that it is ready. `options` gets the port of that address.
-// A port that was free may be taken by the time the node binds it: the node ends then, and other ports are tried.
+// Starts a node and waits until its second address says that it is ready. `options` gets the port of that
+// address. A port that was free may be taken by the time the node binds it: the node ends then, and other
+// ports are tried.
 inline std::unique_ptr<Node> start_node(const std::function<Node::Options(int console)>& options) {
   constexpr double kStartMs = 8000;
   constexpr int kTries = 10;
@@ -446,7 +453,8 @@
     if (::mkdtemp(path_.data()) == nullptr) throw CannotRun("cannot make " + path_);
   }
   TemporaryFolder(const TemporaryFolder&) = delete;
-  ~TemporaryFolder() {
+  ~TemporaryFolder() { remove(); }
+  void remove() const {
     std::error_code ignored;
     std::filesystem::remove_all(path_, ignored);
   }
@@ -457,14 +465,20 @@
 };
 
 // The settings of a small deployment with two sites, as the platform hands them over. `use_cases` is the
-// inside of their list.
-inline std::string settings_text(const std::string& use_cases) {
+// inside of their list; `kinds` and `kind_of_use_case` name the machine kinds and the one that each use case
+// needs.
+inline std::string settings_text(const std::string& use_cases, const std::string& kinds = R"("big-box")",
+                                 const std::string& kind_of_use_case = "-1,-1") {
   return R"({"useCases":[)" + use_cases +
          R"(],"replicasOfMe":4,"me":0,"membershipMode":"ask","kindOfService":"jobs","weightSource":"rough",)"
-         R"("locality":"hobart","zones":["hobart","launceston"],"shapes":["big-box"],"quantum":0.002,)"
+         R"("locality":"hobart","zones":["hobart","launceston"],"shapes":[)" +
+         kinds +
+         R"(],"quantum":0.002,)"
          R"("caps":{"mostLaunches":5,"connIdle":30,"connectTimeout":0.25,"cancelling":true,"secondCopies":false,)"
          R"("retryAfter":false,"maxRetryAfter":2.0},)"
-         R"("domain":{"classKind":[-1,-1],"classStretch":[1.75,1.75],"tellsStart":true,"progress":2.0},)"
+         R"("domain":{"classKind":[)" +
+         kind_of_use_case +
+         R"(],"classStretch":[1.75,1.75],"tellsStart":true,"progress":2.0},)"
          R"("guarantees":{"askWithin":10,"coldFrom":0.3,"drainGrace":1.5,"fallMultiple":3,"graceToAnswer":0.008,)"
          R"("overloadFor":1.5,"warmUp":8.8}})";
 }
@@ -477,28 +491,35 @@
     R"("semantics":"single_shot"})";
 
 inline std::string config_text(const std::string& name, int listen, int discovery, int console,
-                               const std::string& settings) {
+                               const std::string& settings, const std::string& seed = "8c1f30d27a5be964") {
   return R"({"name":")" + name + R"(","listen":")" + address_of(listen) + R"(","discovery":")" +
-         address_of(discovery) + R"(","console":")" + address_of(console) +
-         R"(","seed":"8c1f30d27a5be964","limits":{"memory_mb":192,"sockets":1024},"settings":)" + settings + "}";
+         address_of(discovery) + R"(","console":")" + address_of(console) + R"(","seed":")" + seed +
+         R"(","limits":{"memory_mb":192,"sockets":1024},"settings":)" + settings + "}";
 }
 
-// Runs the case and ends the program: with 0 where the rule held, 1 where it was broken, 2 where the case could
-// not run. Does not wait for the threads of the stand-ins.
-[[noreturn]] inline void run_case(const std::function<int()>& play) {
+// Removes the folder and ends the program with the result, at once: the threads of the stand-ins go on to the
+// end and use what the case has built.
+[[noreturn]] inline void finish(int result, const TemporaryFolder& folder) {
+  folder.remove();
+  std::fflush(nullptr);
+  std::_Exit(result);
+}
+
+// Runs the case, which ends the program by finish(): with 0 where the rule held, 1 where it was broken. Ends
+// it with 2 where the case could not run.
+[[noreturn]] inline void run_case(const std::function<void()>& play) {
   constexpr unsigned kLimitSeconds = 115;
   ::signal(SIGPIPE, SIG_IGN);
   ::signal(SIGALRM, [](int) { std::_Exit(2); });
   ::alarm(kLimitSeconds);
   std::set_terminate([] { std::_Exit(2); });
-  int result = 2;
   try {
-    result = play();
+    play();
   } catch (const std::exception& failure) {
     std::fprintf(stderr, "the case cannot run: %s\n", failure.what());
   }
   std::fflush(nullptr);
-  std::_Exit(result);
+  std::_Exit(2);
 }
 
 }  // namespace rig
