Review: the second review's drivers are formatted, and nodes end with their driver

Cause: a driver that gave up or was stopped left its nodes running. Change: the kernel ends a node with its driver; layout by the project's clang-format; case 4 cannot run where no request waited for the new version.

--- a/review/src-2/adopted.cpp
+++ b/review/src-2/adopted.cpp
@@ -1,9 +1,10 @@
-// Case: a new version that has recovery takes over waiting keyed requests from the version beside it, sends them to
-// executors, and is killed while they run. A key is to run in one zone only.
-// TROUBLE=0: no upgrade and no kill. TROUBLE=kill: the node has recovery from the start and is killed, without an
-// upgrade. TROUBLE=chain: the node has recovery already, and its operators do as docs/power-loss.md says: a new version
-// beside the old one serves without the store, "start it once more when the old one has ended"; then the kill.
-// Descriptor 3 has to be free at the start: the listening socket of the clients becomes descriptor 3.
+// Case: a new version that has recovery takes over waiting keyed requests from the version beside it, sends
+// them to executors, and is killed while they run. A key is to run in one zone only. TROUBLE=0: no upgrade
+// and no kill. TROUBLE=kill: the node has recovery from the start and is killed, without an upgrade.
+// TROUBLE=chain: the node has recovery already, and its operators do as docs/power-loss.md says: a new
+// version beside the old one serves without the store, "start it once more when the old one has ended"; then
+// the kill. Descriptor 3 has to be free at the start: the listening socket of the clients becomes
+// descriptor 3.
 #include "kit.h"
 
 using namespace kit;
@@ -25,7 +26,8 @@
     if (zones.busy) {
       const std::lock_guard lock(zones.mutex);
       zones.sent_before.insert(key);
-      record.line("taken, and waits for a slot: key %s request %s at %s", key.c_str(), id.c_str(), name.c_str());
+      record.line("taken, and waits for a slot: key %s request %s at %s", key.c_str(), id.c_str(),
+                  name.c_str());
     }
     send_all(fd, kTaken);
     while (zones.busy) pause(0.005);
@@ -34,11 +36,12 @@
       const std::lock_guard lock(zones.mutex);
       first = zones.zones_of_key[key].insert(zone).second;
     }
-    record.line("%s key %s request %s at %s zone %s", first ? "run      " : "known    ", key.c_str(), id.c_str(),
-                name.c_str(), zone.c_str());
+    record.line("%s key %s request %s at %s zone %s", first ? "run      " : "known    ", key.c_str(),
+                id.c_str(), name.c_str(), zone.c_str());
     send_all(fd, job_line(id, name, "\"state\":\"started\""));
     if (first) pause(5);
-    const bool told = send_all(fd, job_line(id, name, "\"state\":\"done\",\"result\":\"" + key + "\"") + kLastChunk);
+    const bool told =
+        send_all(fd, job_line(id, name, "\"state\":\"done\",\"result\":\"" + key + "\"") + kLastChunk);
     record.line("done      key %s at %s%s", key.c_str(), name.c_str(), told ? "" : " (its node is gone)");
     if (!told) return;
   }
@@ -60,27 +63,29 @@
   Discovery discovery({{"s-01", first.address(), "a", 1}, {"s-02", second.address(), "b", 2}});
   // The values of deploy/recovery.toml, with the node's directory; no peers.
   write_file(temporary + "/recovery.toml",
-             "[store]\ndirectory = \"" + temporary + "/store\"\nmax_size_mb = 64\n"
-             "[attempts]\nenabled = true\nkeep_after_window_s = 60\nmax_records = 20000\n"
-             "[learned]\nsave_every_s = 5\nfade_s = 600\nmax_age_s = 86400\n"
-             "[membership]\nshort_list_hold_s = 15\nshort_list_share = 0.5\n");
+             "[store]\ndirectory = \"" + temporary +
+                 "/store\"\nmax_size_mb = 64\n"
+                 "[attempts]\nenabled = true\nkeep_after_window_s = 60\nmax_records = 20000\n"
+                 "[learned]\nsave_every_s = 5\nfade_s = 600\nmax_age_s = 86400\n"
+                 "[membership]\nshort_list_hold_s = 15\nshort_list_share = 0.5\n");
   std::vector<std::unique_ptr<Node>> nodes;
   const auto start = [&](bool recovery) {
     const std::string number = std::to_string(nodes.size() + 1);
     const std::string config = temporary + "/config-" + number + ".json";
     const int console = free_port();
-    write_file(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(port) +
-                           "\",\"console\":\"127.0.0.1:" + std::to_string(console) + "\",\"discovery\":\"" +
-                           discovery.address() + "\",\"seed\":\"8c1f30d27a5be96" + number +
-                           "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
-                           "\"settings\":{\"useCases\":[{\"name\":\"phase-run\",\"agreedTime\":10,\"hardLimit\":30,"
-                           "\"semantics\":\"guarded\",\"group\":\"zone\",\"window\":40}],\"replicasOfMe\":1,"
-                           "\"membershipMode\":\"ask\",\"zones\":[\"a\",\"b\"],\"locality\":\"a\","
-                           "\"shapes\":[\"m1\"],\"quantum\":0.002,\"clients\":{\"marksRetry\":true},"
-                           "\"domain\":{\"tellsStart\":true},"
-                           "\"caps\":{\"mostLaunches\":5,\"connIdle\":30,\"connectTimeout\":0.25,"
-                           "\"cancelling\":true,\"secondCopies\":false},"
-                           "\"guarantees\":{\"askWithin\":10,\"drainGrace\":1.5,\"graceToAnswer\":0.008}}}");
+    write_file(config,
+               "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(port) +
+                   "\",\"console\":\"127.0.0.1:" + std::to_string(console) + "\",\"discovery\":\"" +
+                   discovery.address() + "\",\"seed\":\"8c1f30d27a5be96" + number +
+                   "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                   "\"settings\":{\"useCases\":[{\"name\":\"phase-run\",\"agreedTime\":10,\"hardLimit\":30,"
+                   "\"semantics\":\"guarded\",\"group\":\"zone\",\"window\":40}],\"replicasOfMe\":1,"
+                   "\"membershipMode\":\"ask\",\"zones\":[\"a\",\"b\"],\"locality\":\"a\","
+                   "\"shapes\":[\"m1\"],\"quantum\":0.002,\"clients\":{\"marksRetry\":true},"
+                   "\"domain\":{\"tellsStart\":true},"
+                   "\"caps\":{\"mostLaunches\":5,\"connIdle\":30,\"connectTimeout\":0.25,"
+                   "\"cancelling\":true,\"secondCopies\":false},"
+                   "\"guarantees\":{\"askWithin\":10,\"drainGrace\":1.5,\"graceToAnswer\":0.008}}}");
     std::map<std::string, std::string> environment{
         {"NODE_CONFIG", config}, {"TMPDIR", temporary}, {"NODE_INHERITED_FD", "3"}};
     if (recovery) environment["NODE_RECOVERY"] = temporary + "/recovery.toml";
@@ -153,6 +158,7 @@
     twice += places.size() > 1 ? 1 : 0;
   }
   record.line("keys first sent by the last version %d, run in both zones %d", counted, twice);
+  if (counted == 0) cannot_run("no key waited for the new version");
   std::printf("%d of %d keys were run in both zones\n", twice, counted);
   std::fflush(stdout);
   std::_Exit(twice > 0 ? 1 : 0);
--- a/review/src-2/kit.h
+++ b/review/src-2/kit.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -36,8 +37,12 @@
 
 inline const Clock::time_point kStart = Clock::now();
 
-inline double seconds() { return std::chrono::duration<double>(Clock::now() - kStart).count(); }
-inline void pause(double duration) { std::this_thread::sleep_for(std::chrono::duration<double>(duration)); }
+inline double seconds() {
+  return std::chrono::duration<double>(Clock::now() - kStart).count();
+}
+inline void pause(double duration) {
+  std::this_thread::sleep_for(std::chrono::duration<double>(duration));
+}
 
 [[noreturn]] inline void cannot_run(const std::string& why) {
   std::fprintf(stderr, "cannot run: %s\n", why.c_str());
@@ -191,7 +196,8 @@
 class Server {
  public:
   using Serve = std::function<void(int fd)>;
-  explicit Server(Serve serve, int port = 0) : port_(port), listener_(listen_on_free_port(port_)), serve_(std::move(serve)) {
+  explicit Server(Serve serve, int port = 0)
+      : port_(port), listener_(listen_on_free_port(port_)), serve_(std::move(serve)) {
     std::thread([this] { accept_all(); }).detach();
   }
   int port() const { return port_; }
@@ -261,14 +267,18 @@
 class Node {
  public:
   // `command`: the deploy file's `run`, started by /bin/sh -c from the root of the repository.
-  Node(std::string name, std::string command, std::string log_path, std::map<std::string, std::string> environment)
-      : name_(std::move(name)), command_(std::move(command)), log_path_(std::move(log_path)),
+  Node(std::string name, std::string command, std::string log_path,
+       std::map<std::string, std::string> environment)
+      : name_(std::move(name)),
+        command_(std::move(command)),
+        log_path_(std::move(log_path)),
         environment_(std::move(environment)) {}
   ~Node() { kill_now(); }
   void start() {
     pid_ = ::fork();
     if (pid_ < 0) cannot_run("fork");
     if (pid_ > 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the node ends with the driver, however that ends
     const int log = ::open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, 1);
     ::dup2(log, 2);
@@ -311,7 +321,8 @@
   return std::atoi(answer.start.c_str() + 9);
 }
 
-inline void wait_until_ready(int port, const std::string& path, const std::string& what, double timeout = 15) {
+inline void wait_until_ready(int port, const std::string& path, const std::string& what,
+                             double timeout = 15) {
   const double until = seconds() + timeout;
   while (get_status(port, path) != 200) {
     if (seconds() > until) cannot_run(what + " is not ready");
--- a/review/src-2/power_loss.cpp
+++ b/review/src-2/power_loss.cpp
@@ -25,17 +25,19 @@
       const std::lock_guard lock(zones.mutex);
       first = zones.zones_of_key[key].insert(zone).second;
     }
-    record.line("%s key %s request %s at %s zone %s", first ? "run      " : "known    ", key.c_str(), id.c_str(),
-                name.c_str(), zone.c_str());
+    record.line("%s key %s request %s at %s zone %s", first ? "run      " : "known    ", key.c_str(),
+                id.c_str(), name.c_str(), zone.c_str());
     send_all(fd, kTaken + job_line(id, name, "\"state\":\"started\""));
     if (first) pause(0.8);
-    const bool told = send_all(fd, job_line(id, name, "\"state\":\"done\",\"result\":\"" + key + "\"") + kLastChunk);
+    const bool told =
+        send_all(fd, job_line(id, name, "\"state\":\"done\",\"result\":\"" + key + "\"") + kLastChunk);
     record.line("done      key %s at %s%s", key.c_str(), name.c_str(), told ? "" : " (its node is gone)");
     if (!told) return;
   }
 }
 
-// The clients' link to a node. While it is cut, bytes of either side wait; at its return connections are reset.
+// The clients' link to a node. While it is cut, bytes of either side wait; at its return connections are
+// reset.
 class Link {
  public:
   explicit Link(int target) : target_(target), server_([this](int fd) { serve(fd); }) {}
@@ -79,8 +81,8 @@
   write_file(place.folder + "/config.json",
              "{\"name\":\"" + place.name + "\",\"listen\":\"127.0.0.1:" + std::to_string(place.port) +
                  "\",\"console\":\"127.0.0.1:" + std::to_string(place.console) + "\",\"discovery\":\"" +
-                 discovery.address() +
-                 "\",\"seed\":\"8c1f30d27a5be96" + std::to_string(seed) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                 discovery.address() + "\",\"seed\":\"8c1f30d27a5be96" + std::to_string(seed) +
+                 "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                  "\"settings\":{\"useCases\":[{\"name\":\"phase-run\",\"agreedTime\":2,\"hardLimit\":30,"
                  "\"semantics\":\"guarded\",\"group\":\"zone\",\"window\":40}],\"replicasOfMe\":2,"
                  "\"membershipMode\":\"ask\",\"zones\":[\"a\",\"b\"],\"locality\":\"a\",\"shapes\":[\"m1\"],"
@@ -89,13 +91,16 @@
                  "\"secondCopies\":false},"
                  "\"guarantees\":{\"askWithin\":10,\"drainGrace\":1.5,\"graceToAnswer\":0.008}}}");
   // The values of deploy/recovery.toml, with this node's directory and its peer.
-  write_file(place.folder + "/recovery.toml",
-             "[store]\ndirectory = \"" + place.folder + "/disk/store\"\nmax_size_mb = 64\n"
-             "[attempts]\nenabled = true\nkeep_after_window_s = 60\nmax_records = 20000\n"
-             "[learned]\nsave_every_s = 5\nfade_s = 600\nmax_age_s = 86400\n"
-             "[membership]\nshort_list_hold_s = 15\nshort_list_share = 0.5\n"
-             "[peers]\nnodes = [{name = \"" + peer.name + "\", address = \"127.0.0.1:" + std::to_string(peer.console) +
-             "\"}]\nask_every_s = 1\nask_for_s = 60\ntimeout_s = 0.5\npatience_s = 2\nmax_answer_kb = 1024\n");
+  write_file(
+      place.folder + "/recovery.toml",
+      "[store]\ndirectory = \"" + place.folder +
+          "/disk/store\"\nmax_size_mb = 64\n"
+          "[attempts]\nenabled = true\nkeep_after_window_s = 60\nmax_records = 20000\n"
+          "[learned]\nsave_every_s = 5\nfade_s = 600\nmax_age_s = 86400\n"
+          "[membership]\nshort_list_hold_s = 15\nshort_list_share = 0.5\n"
+          "[peers]\nnodes = [{name = \"" +
+          peer.name + "\", address = \"127.0.0.1:" + std::to_string(peer.console) +
+          "\"}]\nask_every_s = 1\nask_for_s = 60\ntimeout_s = 0.5\npatience_s = 2\nmax_answer_kb = 1024\n");
 }
 
 }  // namespace
@@ -117,7 +122,8 @@
   for (const Place* const place : {&n0, &n1})
     for (const char* const name : {"", "/backing"}) ::mkdir((place->folder + name).c_str(), 0700);
   const auto mount = [](const Place& place) {
-    if (::symlink((place.folder + "/backing").c_str(), (place.folder + "/disk").c_str()) != 0) cannot_run("symlink");
+    if (::symlink((place.folder + "/backing").c_str(), (place.folder + "/disk").c_str()) != 0)
+      cannot_run("symlink");
   };
   mount(n0);
   mount(n1);
@@ -129,7 +135,8 @@
                                               {"TMPDIR", place.folder}};
   };
   const std::string run = required_env("RUN");
-  Node node0("n0", run, n0.folder + "/log", environment(n0)), node1("n1", run, n1.folder + "/log", environment(n1));
+  Node node0("n0", run, n0.folder + "/log", environment(n0)),
+      node1("n1", run, n1.folder + "/log", environment(n1));
   node0.start();
   node1.start();
   wait_until_ready(n0.console, "/_ready", "n0");
@@ -142,7 +149,11 @@
     char id[40], key[40];
     std::snprintf(id, sizeof id, "9b1f03aa5c7e%02d%02d", attempt, i);
     std::snprintf(key, sizeof key, "5c0f6e1a2b3d4c59a8b7c6d5e4f303%02d", i);
-    return Request{.path = "/phase-run/7f3a9c21e0b4d655", .id = id, .key = key, .time_left_ms = 8000, .repeat = attempt > 0};
+    return Request{.path = "/phase-run/7f3a9c21e0b4d655",
+                   .id = id,
+                   .key = key,
+                   .time_left_ms = 8000,
+                   .repeat = attempt > 0};
   };
   const double began = seconds();
   std::vector<std::thread> clients;
@@ -196,7 +207,8 @@
       ++attempt;
       const bool to_n0 = late_store && attempt % 2 == 1;
       const Request mine = request(i, attempt);
-      record.line("client %d sends %s key %s to %s", i, mine.id.c_str(), mine.key.c_str(), to_n0 ? "n0" : "n1");
+      record.line("client %d sends %s key %s to %s", i, mine.id.c_str(), mine.key.c_str(),
+                  to_n0 ? "n0" : "n1");
       answers[i] = ask(to_n0 ? n0.port : n1.port, mine, 10);
       record.line("client %d gets %d", i, answers[i].status);
       if (answers[i].status > 0 && answers[i].status != 429 && answers[i].status != 503) return;
